--- /dev/null
+++ b/crates/mulberry-bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Load generator and experiment runner.
+
+fn main() {}
--- /dev/null
+++ b/crates/mulberry-callers/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP API for callers.
--- /dev/null
+++ b/crates/mulberry-consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! Raft core without clock, socket or file.
--- /dev/null
+++ b/crates/mulberry-control/src/main.rs
@@ -0,0 +1,3 @@
+//! Control instance with replicated state.
+
+fn main() {}
--- /dev/null
+++ b/crates/mulberry-entry/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry instance between callers and targets.
+
+fn main() {}
--- /dev/null
+++ b/crates/mulberry-http/src/lib.rs
@@ -0,0 +1,1 @@
+//! Bounded blocking HTTP server.
--- /dev/null
+++ b/crates/mulberry-log/src/lib.rs
@@ -0,0 +1,1 @@
+//! Data folder with a checksummed log and snapshots.
--- /dev/null
+++ b/crates/mulberry-operators/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operator API of the control instances and its client.
--- /dev/null
+++ b/crates/mulberry-peers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Authenticated frames between the processes of the system.
--- /dev/null
+++ b/crates/mulberry-plan/src/lib.rs
@@ -0,0 +1,1 @@
+//! Library with which operators build, print and apply a configuration.
--- /dev/null
+++ b/crates/mulberry-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Health checks, metrics and logs for the platform.
--- /dev/null
+++ b/crates/mulberry-policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing, admission, reservation and retry decisions.
--- /dev/null
+++ b/crates/mulberry-services/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client for plain services.
--- /dev/null
+++ b/crates/mulberry-state/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated state machine: configuration, claims and membership.
--- /dev/null
+++ b/crates/mulberry-targets/src/lib.rs
@@ -0,0 +1,1 @@
+//! Announcements of targets and the client for engines.
--- /dev/null
+++ b/crates/mulberryctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line for operators.
+
+fn main() {}
--- /dev/null
+++ b/crates/standin-engine/src/main.rs
@@ -0,0 +1,3 @@
+//! Model engine emulator for tests and measurement.
+
+fn main() {}
--- /dev/null
+++ b/crates/standin-service/src/main.rs
@@ -0,0 +1,3 @@
+//! Plain service emulator for tests and measurement.
+
+fn main() {}
