--- a/crates/mulberry-http/tests/bounds.rs
+++ b/crates/mulberry-http/tests/bounds.rs
@@ -1,5 +1,7 @@
 //! Idle, slow, oversized and aborted exchanges stay within the bounds of the server.
 
+#![allow(clippy::unwrap_used)]
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
