--- /dev/null
+++ b/crates/mulberry-consensus/src/raft.rs
@@ -0,0 +1,553 @@
+//! One replica of a group.
+
+mod election;
+mod membership;
+mod reads;
+mod replication;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub use self::reads::Confirmation;
+use self::reads::PendingRead;
+use self::replication::IncomingSnapshot;
+use crate::log::Log;
+use crate::members::MemberHistory;
+use crate::progress::Progress;
+use crate::writes::WriteQueue;
+use crate::{
+    AppendResult, Committed, DurableState, Entry, HardState, MemberId, MemberProgress, Members,
+    MessageBody, NotLeader, Payload, Position, RaftMessage, RaftSettings, Snapshot, Writes,
+};
+
+/// What a replica does at present.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// Follows a leader or waits for one; learners and replicas without a group are followers too.
+    Follower,
+
+    /// Asks whether an election could be won.
+    PreCandidate,
+
+    /// Asks for votes.
+    Candidate,
+
+    Leader,
+}
+
+/// One replica of a group.
+#[derive(Debug)]
+pub struct Raft {
+    settings: RaftSettings,
+    rng: ChaCha8Rng,
+
+    /// Newest time passed in.
+    now_ms: u64,
+
+    started_ms: u64,
+    hard_state: HardState,
+    log: Log,
+    snapshot: Option<Arc<Snapshot>>,
+    members: MemberHistory,
+    commit_index: u64,
+
+    /// Last index that `take_committed` has returned.
+    handed_out_index: u64,
+
+    /// Snapshot that `take_committed` must return first.
+    pending_restore: Option<Snapshot>,
+
+    role: RoleState,
+    leader: Option<MemberId>,
+
+    /// Time of the last message from a leader of the term that was current then.
+    leader_heard_ms: Option<u64>,
+
+    election_deadline_ms: u64,
+    writes: WriteQueue,
+    outgoing: Vec<Outgoing>,
+    incoming_snapshot: Option<IncomingSnapshot>,
+    confirmations: Vec<Confirmation>,
+}
+
+#[derive(Debug)]
+enum RoleState {
+    Follower,
+    PreCandidate { votes: BTreeSet<MemberId> },
+    Candidate { votes: BTreeSet<MemberId> },
+    Leader(LeaderState),
+}
+
+#[derive(Debug)]
+struct LeaderState {
+    since_ms: u64,
+
+    /// Index of the empty entry that starts the term.
+    first_index: u64,
+
+    /// All other members.
+    progress: BTreeMap<MemberId, Progress>,
+
+    heartbeat_due_ms: u64,
+
+    /// Number of the newest heartbeat round.
+    round: u64,
+
+    /// Ascending by round. Reads of a round that has not started yet wait for the next `take_messages`.
+    reads: Vec<PendingRead>,
+
+    transfer: Option<Transfer>,
+}
+
+/// Leadership transfer in progress.
+#[derive(Debug)]
+struct Transfer {
+    to: MemberId,
+    deadline_ms: u64,
+    sent: bool,
+}
+
+/// A message that may have to wait for a sync.
+#[derive(Debug)]
+struct Outgoing {
+    to: MemberId,
+    message: RaftMessage,
+
+    /// Batch of writes that must be synced before; 0 if none.
+    after_sequence: u64,
+}
+
+impl Raft {
+    /// Starts a replica from what is on its disk.
+    ///
+    /// # Panics
+    /// The durable state contradicts itself: entries are missing or out of order.
+    pub fn new(settings: RaftSettings, durable: DurableState, now_ms: u64) -> Raft {
+        let DurableState { hard_state, snapshot, entries } = durable;
+        let snapshot_position = snapshot.as_ref().map(Snapshot::position).unwrap_or_default();
+        let mut members = MemberHistory::default();
+        if let Some(snapshot) = &snapshot {
+            members.reset(snapshot.index, snapshot.members.clone());
+        }
+        let is_new = snapshot.is_none() && entries.is_empty();
+        let (kept, stale) = usable_entries(snapshot_position, entries);
+        let mut log = Log::new(snapshot_position);
+        for entry in kept {
+            if let Payload::Members(new_members) = &entry.payload {
+                members.push(entry.index, new_members.clone());
+            }
+            log.append(entry);
+        }
+        assert!(
+            log.last().term <= hard_state.term,
+            "the log holds entries of term {} but the replica's term is {}; restore the data folder",
+            log.last().term,
+            hard_state.term
+        );
+
+        let mut writes = WriteQueue::new(log.last_index());
+        if stale {
+            writes.truncate_from(snapshot_position.index + 1);
+        }
+        let rng = ChaCha8Rng::seed_from_u64(settings.seed);
+        let mut raft = Raft {
+            settings,
+            rng,
+            now_ms,
+            started_ms: now_ms,
+            hard_state,
+            log,
+            snapshot: snapshot.clone().map(Arc::new),
+            members,
+            commit_index: snapshot_position.index,
+            handed_out_index: 0,
+            pending_restore: snapshot,
+            role: RoleState::Follower,
+            leader: None,
+            leader_heard_ms: None,
+            election_deadline_ms: 0,
+            writes,
+            outgoing: Vec::new(),
+            incoming_snapshot: None,
+            confirmations: Vec::new(),
+        };
+        raft.reset_election_deadline();
+        if is_new {
+            raft.bootstrap();
+        }
+        raft
+    }
+
+    /// Lets time pass. Time never goes backwards; an earlier `now_ms` than before counts as no time.
+    pub fn tick(&mut self, now_ms: u64) {
+        self.now_ms = self.now_ms.max(now_ms);
+        if matches!(self.role, RoleState::Leader(_)) {
+            self.tick_leader();
+        } else if self.now_ms >= self.election_deadline_ms {
+            self.reset_election_deadline();
+            if self.members().is_voter(self.settings.id) {
+                self.start_pre_vote();
+            }
+        }
+    }
+
+    /// Handles a message of another replica.
+    pub fn receive(&mut self, now_ms: u64, from: MemberId, message: RaftMessage) {
+        self.now_ms = self.now_ms.max(now_ms);
+        let RaftMessage { term, body } = message;
+        if from == self.settings.id || self.ignores_vote_request(&body) {
+            return;
+        }
+
+        if term > self.hard_state.term {
+            match body {
+                // The sender has not started that term.
+                MessageBody::PreVote { .. } | MessageBody::PreVoteReply { granted: true } => {}
+                _ => self.become_follower(term),
+            }
+        } else if term < self.hard_state.term {
+            match body {
+                MessageBody::PreVote { .. } => {
+                    self.send_durable(from, MessageBody::PreVoteReply { granted: false });
+                }
+                // Makes a leader step down that cannot win back this replica in its old term.
+                MessageBody::Append { .. }
+                | MessageBody::Heartbeat { .. }
+                | MessageBody::SnapshotChunk { .. } => {
+                    self.send_durable(from, MessageBody::NewerTerm);
+                }
+                _ => {}
+            }
+            return;
+        }
+
+        match body {
+            MessageBody::PreVote { last } => self.on_pre_vote(from, term, last),
+            MessageBody::PreVoteReply { granted } => self.on_pre_vote_reply(from, term, granted),
+            MessageBody::Vote { last, .. } => self.on_vote(from, last),
+            MessageBody::VoteReply { granted } => self.on_vote_reply(from, granted),
+            MessageBody::Append { previous, entries, commit_index } => {
+                self.on_append(from, previous, entries, commit_index);
+            }
+            MessageBody::AppendReply(result) => self.on_append_reply(from, result),
+            MessageBody::Heartbeat { commit_index, round } => {
+                self.on_heartbeat(from, commit_index, round);
+            }
+            MessageBody::HeartbeatReply { round } => self.on_heartbeat_reply(from, round),
+            MessageBody::SnapshotChunk { position, members, offset, total_bytes, data } => {
+                let part = IncomingSnapshot { position, members, total_bytes, data };
+                self.on_snapshot_chunk(from, offset, part);
+            }
+            MessageBody::SnapshotReply { index, received_bytes } => {
+                self.on_snapshot_reply(from, index, received_bytes);
+            }
+            MessageBody::CampaignNow => self.on_campaign_now(from),
+            MessageBody::NewerTerm => {}
+        }
+    }
+
+    /// Appends a command to the leader's log. It is committed once `take_committed` returns an entry with this
+    /// position; an entry with the same index and another term means that it was lost.
+    ///
+    /// # Errors
+    /// The replica does not lead, or is handing leadership over.
+    pub fn propose(&mut self, command: Vec<u8>) -> Result<Position, NotLeader> {
+        self.check_accepts_proposals()?;
+        Ok(self.append_own(Payload::Command(command)))
+    }
+
+    /// Takes the writes that must be synced. Each non-empty result must be passed to `writes_synced` after the sync,
+    /// in the order in which it was taken.
+    pub fn take_writes(&mut self) -> Writes {
+        self.writes.take()
+    }
+
+    /// Records that `writes` are on disk.
+    ///
+    /// # Panics
+    /// `writes` is not the oldest batch that was taken and not yet reported.
+    pub fn writes_synced(&mut self, writes: &Writes) {
+        self.writes.synced(writes);
+        self.count_own_vote();
+        self.advance_commit();
+    }
+
+    /// Takes the messages that may be sent now. Messages that promise durability stay until their writes are synced.
+    pub fn take_messages(&mut self) -> Vec<(MemberId, RaftMessage)> {
+        self.start_read_round();
+        self.replicate();
+        let synced = self.writes.synced_sequence();
+        let (ready, waiting) = std::mem::take(&mut self.outgoing)
+            .into_iter()
+            .partition::<Vec<_>, _>(|outgoing| outgoing.after_sequence <= synced);
+        self.outgoing = waiting;
+        ready.into_iter().map(|outgoing| (outgoing.to, outgoing.message)).collect()
+    }
+
+    /// Takes the entries that were committed since the last call, in order, as far as they are on this replica's own
+    /// disk too. A snapshot from the disk or from the leader comes first.
+    pub fn take_committed(&mut self) -> Vec<Committed> {
+        let mut committed = Vec::new();
+        if let Some(snapshot) = self.pending_restore.take() {
+            if self.writes.synced_index() < snapshot.index {
+                self.pending_restore = Some(snapshot);
+                return committed;
+            }
+            self.handed_out_index = snapshot.index;
+            committed.push(Committed::Snapshot(snapshot));
+        }
+        let last = self.commit_index.min(self.writes.synced_index());
+        if last > self.handed_out_index {
+            let entries = self.log.range(self.handed_out_index + 1, last);
+            committed.extend(entries.cloned().map(Committed::Entry));
+            self.handed_out_index = last;
+        }
+        committed
+    }
+
+    /// The snapshot of a state machine that has applied everything up to `index`. `None` if a snapshot as new as that
+    /// is known already, for example because the leader has sent one.
+    ///
+    /// # Panics
+    /// `index` was not returned by `take_committed` yet.
+    pub fn snapshot_at(&self, index: u64, data: Vec<u8>) -> Option<Snapshot> {
+        assert!(index <= self.handed_out_index, "a snapshot must hold committed entries only");
+        if index <= self.snapshot_index() {
+            return None;
+        }
+        let term = self.log.term_at(index)?;
+        let members = self.members.at(index)?.clone();
+        Some(Snapshot { index, term, members, data })
+    }
+
+    /// Drops the log before `snapshot`, except for the newest `kept_entries`. The driver has already stored the
+    /// snapshot durably. Does nothing if a newer snapshot is known.
+    ///
+    /// # Panics
+    /// The snapshot holds entries that are not committed, or differs from the log in term or members.
+    pub fn compact(&mut self, snapshot: Snapshot) {
+        if self.snapshot.as_ref().is_some_and(|newer| newer.index >= snapshot.index) {
+            return;
+        }
+        assert!(
+            snapshot.index <= self.handed_out_index,
+            "snapshot at index {} is ahead of the applied index {}",
+            snapshot.index,
+            self.handed_out_index
+        );
+        assert_eq!(self.log.term_at(snapshot.index), Some(snapshot.term), "term of the snapshot");
+        assert_eq!(self.members.at(snapshot.index), Some(&snapshot.members), "its members");
+        self.log.drop_through(snapshot.index.saturating_sub(self.settings.kept_entries));
+        self.members.drop_before(snapshot.index);
+        self.snapshot = Some(Arc::new(snapshot));
+    }
+
+    pub fn id(&self) -> MemberId {
+        self.settings.id
+    }
+
+    pub fn role(&self) -> Role {
+        match self.role {
+            RoleState::Follower => Role::Follower,
+            RoleState::PreCandidate { .. } => Role::PreCandidate,
+            RoleState::Candidate { .. } => Role::Candidate,
+            RoleState::Leader(_) => Role::Leader,
+        }
+    }
+
+    /// The leader of the current term, if this replica has heard from it.
+    pub fn leader(&self) -> Option<MemberId> {
+        self.leader
+    }
+
+    pub fn term(&self) -> u64 {
+        self.hard_state.term
+    }
+
+    /// Newest members in the log, committed or not. Empty if this replica belongs to no group yet.
+    pub fn members(&self) -> &Members {
+        static NO_MEMBERS: Members = Members { voters: Vec::new(), learners: Vec::new() };
+        self.members.current().map_or(&NO_MEMBERS, |(_, members)| members)
+    }
+
+    /// Whether the newest members are committed.
+    pub fn members_committed(&self) -> bool {
+        self.members.current().is_none_or(|&(index, _)| index <= self.commit_index)
+    }
+
+    pub fn commit_index(&self) -> u64 {
+        self.commit_index
+    }
+
+    /// Last index that `take_committed` has returned.
+    pub fn handed_out_index(&self) -> u64 {
+        self.handed_out_index
+    }
+
+    pub fn last_index(&self) -> u64 {
+        self.log.last_index()
+    }
+
+    /// First index that is in memory.
+    pub fn first_index(&self) -> u64 {
+        self.log.base().index + 1
+    }
+
+    pub fn snapshot_index(&self) -> u64 {
+        self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index)
+    }
+
+    /// Every entry up to this index is on this replica's disk.
+    pub fn synced_index(&self) -> u64 {
+        self.writes.synced_index()
+    }
+
+    /// When `tick` must be called next, at the latest.
+    pub fn next_deadline_ms(&self) -> u64 {
+        match &self.role {
+            RoleState::Leader(leader) => leader.heartbeat_due_ms,
+            _ => self.election_deadline_ms,
+        }
+    }
+
+    /// State of each member as the leader sees it, itself included. Empty on other replicas.
+    pub fn progress(&self) -> Vec<MemberProgress> {
+        let RoleState::Leader(leader) = &self.role else { return Vec::new() };
+        let members = self.members();
+        let view = |member| {
+            let progress = leader.progress.get(&member);
+            MemberProgress {
+                member,
+                voter: members.is_voter(member),
+                match_index: progress.map_or(self.synced_index(), |p| p.match_index),
+                last_acknowledged_ms: progress.and_then(|p| p.last_acknowledged_ms),
+                recently_active: self.recently_active(member),
+                receives_snapshot: progress.is_some_and(Progress::receives_snapshot),
+            }
+        };
+        members.all().map(view).collect()
+    }
+
+    /// Whether this replica leads and `member` has answered it within an election timeout.
+    pub fn recently_active(&self, member: MemberId) -> bool {
+        let RoleState::Leader(leader) = &self.role else { return false };
+        let Some(progress) = leader.progress.get(&member) else {
+            return member == self.settings.id;
+        };
+        let limit_ms = self.settings.election_timeout_min_ms;
+        progress.last_acknowledged_ms.is_some_and(|at_ms| self.now_ms < at_ms + limit_ms)
+    }
+
+    fn check_accepts_proposals(&self) -> Result<(), NotLeader> {
+        match &self.role {
+            RoleState::Leader(LeaderState { transfer: None, .. }) => Ok(()),
+            RoleState::Leader(_) => Err(NotLeader { leader: None }),
+            _ => Err(NotLeader { leader: self.leader }),
+        }
+    }
+
+    fn append_own(&mut self, payload: Payload) -> Position {
+        let index = self.log.last_index() + 1;
+        let entry = Entry { index, term: self.hard_state.term, payload };
+        let position = entry.position();
+        self.append(entry);
+        position
+    }
+
+    fn append(&mut self, entry: Entry) {
+        if let Payload::Members(members) = &entry.payload {
+            self.members.push(entry.index, members.clone());
+        }
+        self.writes.append(entry.clone());
+        self.log.append(entry);
+    }
+
+    fn truncate_from(&mut self, index: u64) {
+        assert!(
+            index > self.commit_index,
+            "entry {index} is committed (commit index {}) but conflicts with the leader's; stop all replicas and \
+             restore a backup",
+            self.commit_index
+        );
+        self.log.truncate_from(index);
+        self.members.truncate_from(index);
+        self.writes.truncate_from(index);
+    }
+
+    fn set_commit_index(&mut self, index: u64) {
+        assert!(index >= self.commit_index, "the commit index must not decrease");
+        assert!(
+            index <= self.log.last_index(),
+            "the leader counts on entries up to {index} but the log ends at {}: this disk has lost acknowledged \
+             entries; start again with an empty data folder",
+            self.log.last_index()
+        );
+        self.commit_index = index;
+    }
+
+    fn set_hard_state(&mut self, new: HardState) {
+        let old = self.hard_state;
+        assert!(new.term >= old.term, "the term must not decrease");
+        assert!(
+            new.term > old.term || old.voted_for.is_none() || new.voted_for == old.voted_for,
+            "a replica must not vote twice in term {}",
+            new.term
+        );
+        self.hard_state = new;
+        self.writes.set_hard_state(new);
+    }
+
+    fn send(&mut self, to: MemberId, body: MessageBody) {
+        self.send_after(to, self.hard_state.term, body, 0);
+    }
+
+    /// Sends a message that depends on the current term and vote.
+    fn send_durable(&mut self, to: MemberId, body: MessageBody) {
+        self.send_after(to, self.hard_state.term, body, self.writes.hard_state_sequence());
+    }
+
+    /// Sends a message that depends on everything written so far.
+    fn send_append_reply(&mut self, to: MemberId, result: AppendResult) {
+        let sequence = self.writes.newest_sequence();
+        self.send_after(to, self.hard_state.term, MessageBody::AppendReply(result), sequence);
+    }
+
+    fn send_after(&mut self, to: MemberId, term: u64, body: MessageBody, after_sequence: u64) {
+        let message = RaftMessage { term, body };
+        self.outgoing.push(Outgoing { to, message, after_sequence });
+    }
+
+    fn reset_election_deadline(&mut self) {
+        let min_ms = self.settings.election_timeout_min_ms;
+        let max_ms = self.settings.election_timeout_max_ms.max(min_ms + 1);
+        self.election_deadline_ms = self.now_ms + self.rng.random_range(min_ms..max_ms);
+    }
+}
+
+/// Drops entries before the snapshot, and all entries if they do not continue it. The second value tells whether
+/// entries after the snapshot were dropped.
+///
+/// A crash after a received snapshot was written, but before the old log was removed, leaves entries that conflict with
+/// it. They are recognised by their term: a leader of the snapshot's term or a later one has the snapshot's entries.
+fn usable_entries(snapshot: Position, mut entries: Vec<Entry>) -> (Vec<Entry>, bool) {
+    let conflicts = entries.iter().any(|entry| {
+        (entry.index == snapshot.index && entry.term != snapshot.term)
+            || (entry.index > snapshot.index && entry.term < snapshot.term)
+    });
+    entries.retain(|entry| entry.index > snapshot.index);
+    if conflicts {
+        let stale = !entries.is_empty();
+        return (Vec::new(), stale);
+    }
+    if let Some(first) = entries.first() {
+        assert_eq!(
+            first.index,
+            snapshot.index + 1,
+            "entries between the snapshot and the log are missing; restore the data folder"
+        );
+    }
+    (entries, false)
+}
