Let homes report reservations that they do not know

Cause: a home that takes a target over does not know the reservations that its predecessor granted, and the entry that holds them must learn of it to register them again. The first token is reported as well, so that a prompt that is out of prefill no longer counts as queued.

--- a/crates/mulberry-targets/src/engine_client.rs
+++ b/crates/mulberry-targets/src/engine_client.rs
@@ -86,7 +86,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Order {
-    CancelStream { id: Arc<str> },
+    CancelStream { request_id: Arc<str> },
     FreeExport { handle: Arc<str> },
     LoadVersion { version: Arc<str> },
 }
--- a/crates/mulberry-targets/src/inventory.rs
+++ b/crates/mulberry-targets/src/inventory.rs
@@ -10,9 +10,10 @@
     /// Request id that the stream was started with.
     pub id: Arc<str>,
 
-    /// KV tokens that it holds.
-    #[serde(default)]
-    pub tokens: u64,
+    pub prompt_tokens: u64,
+
+    /// KV tokens that it holds; 0 while it waits.
+    pub tokens_held: u64,
 
     pub age_ms: u64,
 }
--- a/crates/mulberry-types/src/home_messages.rs
+++ b/crates/mulberry-types/src/home_messages.rs
@@ -27,6 +27,11 @@
 
     Release(Release),
 
+    /// The first token has arrived, so the prompt is not queued any more. Sent without a reply.
+    FirstToken {
+        reservation: ReservationId,
+    },
+
     /// Sent every 250 ms without a reply.
     Digest(HomeDigest),
 }
@@ -147,6 +152,12 @@
 pub enum HomeReply {
     Reserved(Reserved),
     Refused(Refused),
+
+    /// Answer to `Extend`: the reservations that are not live at this home.
+    Extended {
+        unknown: Vec<ReservationId>,
+    },
+
     Done,
 }
 
