mulberry-types: add the frames of the control port

Cause: entries and control instances share one peer port, and the entry is written at the same time as the control instance.

Ruled out: Raft messages as a type of their own in the enum, because entries would then depend on the consensus crate.

It compiles; nothing uses it yet.

--- a/crates/mulberry-types/src/lib.rs
+++ b/crates/mulberry-types/src/lib.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod configuration_check;
 mod control_messages;
+mod control_port;
 mod home_messages;
 mod ids;
 mod length_class;
@@ -26,6 +27,7 @@
 pub use control_messages::{
     ClaimKey, ClaimReply, ControlReply, ControlRequest, Grant, Permit, Renew, StoredAnswer,
 };
+pub use control_port::{ControlPortReply, ControlPortRequest, ReplicaHello};
 pub use home_messages::{
     HomeDigest, HomeReply, HomeRequest, RefuseReason, Refused, Release, ReleaseOutcome, Reserve,
     Reserved, TargetDigest,
