Add the decisions of entries and homes to mulberry-policy

Cause: the entry binary needs lease, homes, reservations, placement, admission, fair queue and retry decisions with stable signatures.

Reservation ids are a hash of request id and target instead of a counter at the home: a new home then recognises extended ids and listed streams without a message that carries them. A counter was ruled out because ids of two homes would collide and Extend carries nothing but ids.

The long prefill cap is decided by a ranking over the digests (memory, then a hash of model and engine) that every entry computes alike. Counting running long prefills was ruled out: a home sees only its own engines.

Before: empty crate.

--- /dev/null
+++ b/crates/mulberry-policy/src/cost_model.rs
@@ -0,0 +1,82 @@
+//! Expected time to first token of one engine.
+//!
+//! The estimate is the prompt tokens ahead plus the own ones, divided by the prefill speed that the
+//! engine states, plus a fixed part, multiplied by a factor per length class that follows what was
+//! observed. The home keeps the model of each of its engines because it sees the releases of all
+//! entries; digests carry the corrected speed, so entries do not correct a second time.
+
+use mulberry_types::LengthClass;
+
+/// Time to first token of an empty prompt: network, scheduling and one decoding step.
+const FIXED_MS: u64 = 20;
+
+/// Speed of an engine that states none.
+const DEFAULT_TOKENS_PER_S: u32 = 5_000;
+
+/// Weight of a new observation in the factor.
+const FACTOR_WEIGHT: f64 = 0.1;
+
+/// A factor outside these bounds says that the engine is faulty or the prompt was cached, not that
+/// the estimate needs that correction.
+const MIN_FACTOR: f64 = 0.25;
+const MAX_FACTOR: f64 = 4.0;
+
+/// Cost model of one engine.
+#[derive(Debug, Clone, Copy)]
+pub struct CostModel {
+    /// Observed over estimated time, by length class.
+    factors: [f64; 4],
+}
+
+impl Default for CostModel {
+    fn default() -> CostModel {
+        CostModel { factors: [1.0; 4] }
+    }
+}
+
+impl CostModel {
+    /// Estimate before correction.
+    #[must_use]
+    pub fn estimate_ms(stated_tokens_per_s: u32, tokens_ahead: u64, prompt_tokens: u64) -> u64 {
+        let speed =
+            if stated_tokens_per_s == 0 { DEFAULT_TOKENS_PER_S } else { stated_tokens_per_s };
+        FIXED_MS + (tokens_ahead + prompt_tokens) * 1_000 / u64::from(speed)
+    }
+
+    /// Expected time to first token behind `tokens_ahead` tokens of other prompts.
+    #[must_use]
+    pub fn expected_first_token_ms(
+        &self,
+        stated_tokens_per_s: u32,
+        tokens_ahead: u64,
+        prompt_tokens: u64,
+    ) -> u64 {
+        let estimate_ms = CostModel::estimate_ms(stated_tokens_per_s, tokens_ahead, prompt_tokens);
+        let factor = self.factors[LengthClass::of(prompt_tokens) as usize];
+        (estimate_ms as f64 * factor) as u64
+    }
+
+    /// Takes an observed time to first token and the estimate that [`CostModel::estimate_ms`] gave
+    /// when the work was admitted.
+    pub fn observe(&mut self, prompt_tokens: u64, estimate_ms: u64, observed_ms: u64) {
+        let ratio =
+            (observed_ms.max(1) as f64 / estimate_ms.max(1) as f64).clamp(MIN_FACTOR, MAX_FACTOR);
+        let factor = &mut self.factors[LengthClass::of(prompt_tokens) as usize];
+        *factor += FACTOR_WEIGHT * (ratio - *factor);
+    }
+
+    /// Correction for a length class, between 0.25 and 4.
+    #[must_use]
+    pub fn factor(&self, class: LengthClass) -> f64 {
+        self.factors[class as usize]
+    }
+
+    /// Prefill speed for digests, corrected by the mean factor of all classes.
+    #[must_use]
+    pub fn tokens_per_s(&self, stated_tokens_per_s: u32) -> u32 {
+        let speed =
+            if stated_tokens_per_s == 0 { DEFAULT_TOKENS_PER_S } else { stated_tokens_per_s };
+        let mean = self.factors.iter().sum::<f64>() / self.factors.len() as f64;
+        (f64::from(speed) / mean) as u32
+    }
+}
--- /dev/null
+++ b/crates/mulberry-policy/src/fleet_view.rs
@@ -0,0 +1,235 @@
+//! The digests of all homes, merged.
+//!
+//! A view is changed by its owner and published as a snapshot behind an `ArcSwap`: cloning it
+//! copies one pointer per home. Digests are shared, and the reservations that no digest shows yet
+//! are shared by all snapshots, so that a snapshot already taken sees them too.
+
+use std::sync::Arc;
+
+use mulberry_types::{
+    Configuration, HomeDigest, Membership, MembershipEpoch, Priority, TargetDigest, TargetKind,
+};
+
+use crate::{CostModel, InFlight, LongPrefillCap};
+
+/// A home that has not sent a digest for this long has lost its lease or is cut off.
+const DIGEST_MS: u64 = 3_000;
+
+/// Newest digest of one home.
+#[derive(Debug)]
+struct HomeView {
+    received_ms: u64,
+    digest: HomeDigest,
+}
+
+/// Work ahead of a request, for [`crate::Admission`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Backlog {
+    /// Targets that take new work.
+    pub ready_targets: u32,
+
+    /// Ready targets that have a slot and some memory free.
+    pub free_targets: u32,
+
+    /// Shortest queue at or above the priority, in prefill time.
+    pub shortest_queue_ms: u64,
+
+    /// Prefill speed of the fastest ready engine.
+    pub best_tokens_per_s: u32,
+
+    /// Prefill speed of all ready engines together.
+    pub tokens_per_s: u64,
+}
+
+/// What this entry knows about the targets of all homes.
+#[derive(Debug, Clone)]
+pub struct FleetView {
+    membership: Arc<Membership>,
+
+    /// Ordered by node.
+    homes: Vec<Arc<HomeView>>,
+
+    in_flight: Arc<InFlight>,
+    long_prefill_cap: Option<Arc<LongPrefillCap>>,
+}
+
+impl FleetView {
+    /// A view without targets.
+    #[must_use]
+    pub fn new(in_flight: Arc<InFlight>) -> FleetView {
+        FleetView {
+            membership: Arc::new(Membership::default()),
+            homes: Vec::new(),
+            in_flight,
+            long_prefill_cap: None,
+        }
+    }
+
+    /// Takes a digest, also the entry's own. Returns whether it was used: one that is older than
+    /// the newest of its home, or comes from an entry that is not a member any more, is dropped.
+    pub fn apply(&mut self, now_ms: u64, digest: HomeDigest) -> bool {
+        if digest.epoch <= self.membership.epoch && !is_member(&self.membership, &digest) {
+            return false;
+        }
+        let position = self.homes.binary_search_by_key(&digest.node, |home| home.digest.node);
+        if let Ok(position) = position {
+            let newest = &self.homes[position].digest;
+            let older = if newest.incarnation == digest.incarnation {
+                digest.sequence <= newest.sequence
+            } else {
+                digest.epoch <= newest.epoch
+            };
+            if older {
+                return false;
+            }
+        }
+        self.in_flight.digest_applied(now_ms, &digest);
+        let home = Arc::new(HomeView { received_ms: now_ms, digest });
+        match position {
+            Ok(position) => self.homes[position] = home,
+            Err(position) => self.homes.insert(position, home),
+        }
+        self.long_prefill_cap = None;
+        true
+    }
+
+    /// Drops the digests of entries that are not members any more.
+    pub fn membership_applied(&mut self, membership: &Arc<Membership>) {
+        if membership.epoch < self.membership.epoch {
+            return;
+        }
+        self.membership = Arc::clone(membership);
+        self.homes.retain(|home| {
+            home.digest.epoch > membership.epoch || is_member(membership, &home.digest)
+        });
+        self.long_prefill_cap = None;
+    }
+
+    /// Drops digests without a successor for 3 s. Call it at least once a second.
+    pub fn prune(&mut self, now_ms: u64) {
+        let before = self.homes.len();
+        self.homes.retain(|home| home.received_ms + DIGEST_MS > now_ms);
+        if self.homes.len() != before {
+            self.long_prefill_cap = None;
+        }
+        self.in_flight.prune(now_ms);
+    }
+
+    /// Computes what each ranking needs of the whole fleet. Call it before a snapshot is published;
+    /// without it each ranking of a long prompt computes it again.
+    pub fn prepare(&mut self, configuration: &Configuration) {
+        if self.long_prefill_cap.is_none() {
+            self.long_prefill_cap = Some(Arc::new(LongPrefillCap::of(self, configuration)));
+        }
+    }
+
+    /// Cap of long prefills by this view.
+    #[must_use]
+    pub fn long_prefill_cap(&self, configuration: &Configuration) -> Arc<LongPrefillCap> {
+        match &self.long_prefill_cap {
+            Some(cap) => Arc::clone(cap),
+            None => Arc::new(LongPrefillCap::of(self, configuration)),
+        }
+    }
+
+    /// Targets of all homes. While a target moves, its old and its new home may both list it.
+    pub fn targets(&self) -> impl Iterator<Item = (&HomeDigest, &TargetDigest)> {
+        self.homes
+            .iter()
+            .flat_map(|home| home.digest.targets.iter().map(|target| (&home.digest, target)))
+    }
+
+    /// Targets of the homes that have sent a digest within the last 3 s.
+    pub fn fresh_targets(&self, now_ms: u64) -> impl Iterator<Item = (&HomeDigest, &TargetDigest)> {
+        self.homes
+            .iter()
+            .filter(move |home| now_ms < home.received_ms + DIGEST_MS)
+            .flat_map(|home| home.digest.targets.iter().map(|target| (&home.digest, target)))
+    }
+
+    /// Digest of one target, from the home with the newest epoch.
+    #[must_use]
+    pub fn target(&self, target: &str) -> Option<&TargetDigest> {
+        self.targets()
+            .filter(|(_, digest)| &*digest.target == target)
+            .max_by_key(|(home, _)| home.epoch)
+            .map(|(_, digest)| digest)
+    }
+
+    /// Work ahead of a request of this priority for a model or service.
+    #[must_use]
+    pub fn backlog(
+        &self,
+        now_ms: u64,
+        service: &str,
+        priority: Priority,
+        configuration: &Configuration,
+    ) -> Backlog {
+        let loads = self.in_flight.loads();
+        let mut backlog = Backlog {
+            ready_targets: 0,
+            free_targets: 0,
+            shortest_queue_ms: u64::MAX,
+            best_tokens_per_s: 0,
+            tokens_per_s: 0,
+        };
+        for (_, target) in self.fresh_targets(now_ms) {
+            if !serves(&target.kind, service) || !is_ready(target, configuration) {
+                continue;
+            }
+            let added = loads.of(&target.target);
+            let ahead = tokens_ahead(&target.queued_prompt_tokens, priority)
+                + tokens_ahead(&added.prompt_tokens, priority);
+            let queue_ms = CostModel::estimate_ms(target.prefill_tokens_per_s, ahead, 0);
+            backlog.ready_targets += 1;
+            let has_memory = target.memory_tokens == 0 || target.free_tokens > added.tokens;
+            if target.free_slots > added.slots && has_memory {
+                backlog.free_targets += 1;
+            }
+            backlog.shortest_queue_ms = backlog.shortest_queue_ms.min(queue_ms);
+            backlog.best_tokens_per_s = backlog.best_tokens_per_s.max(target.prefill_tokens_per_s);
+            backlog.tokens_per_s += u64::from(target.prefill_tokens_per_s);
+        }
+        if backlog.ready_targets == 0 {
+            backlog.shortest_queue_ms = 0;
+        }
+        backlog
+    }
+
+    /// Reservations of this entry that no digest shows yet.
+    #[must_use]
+    pub fn in_flight(&self) -> &Arc<InFlight> {
+        &self.in_flight
+    }
+
+    /// Newest membership that the view knows.
+    #[must_use]
+    pub fn epoch(&self) -> MembershipEpoch {
+        self.membership.epoch
+    }
+}
+
+fn is_member(membership: &Membership, digest: &HomeDigest) -> bool {
+    membership.member(digest.node).is_some_and(|member| member.incarnation == digest.incarnation)
+}
+
+/// Whether a target serves the model or service of this name.
+pub(crate) fn serves(kind: &TargetKind, service: &str) -> bool {
+    match kind {
+        TargetKind::Engine { models } => models.iter().any(|model| &**model == service),
+        TargetKind::Service { service: name } => &**name == service,
+    }
+}
+
+/// Whether a target takes new work at all. The entry's own configuration counts too, because it may
+/// be newer than the one that the digest was made with.
+pub(crate) fn is_ready(target: &TargetDigest, configuration: &Configuration) -> bool {
+    target.takes_work
+        && configuration.zone_is_in(&target.zone)
+        && configuration.target_is_in(&target.target)
+}
+
+/// Tokens at or above a priority.
+pub(crate) fn tokens_ahead(by_priority: &[u64; 3], priority: Priority) -> u64 {
+    by_priority[priority as usize..].iter().sum()
+}
--- /dev/null
+++ b/crates/mulberry-policy/src/home_ledger.rs
@@ -0,0 +1,929 @@
+//! Reservations of one home on all of its targets.
+//!
+//! # Accounting
+//!
+//! Four things count against the memory and the slots of a target:
+//!
+//! - live reservations, with the prompt and the longest allowed answer;
+//! - room that has no live reservation any more but may still be in use: expired reservations, and
+//!   released ones whose work was cut off. It counts until a list requested from the target later
+//!   does not show it;
+//! - items of the target's own list that belong to neither;
+//! - what the load report shows beyond all of these. The report lags, so room released within the
+//!   last two seconds is not taken for such a surplus.
+//!
+//! # Taking a target over
+//!
+//! A new home knows nothing of what its predecessor granted. Three rules keep the sum within the
+//! memory:
+//!
+//! - An entry starts work only on a grant of the target's home by its own newest membership
+//!   ([`crate::ReservationHold::may_start`]). The new home acts in a settled epoch, so every member
+//!   has stopped using the predecessor's grants by then.
+//! - The new home grants nothing until it has a list of the target that it requested at least
+//!   1,000 ms after it began. Work that was on its way is in that list.
+//! - An entry registers what it holds again: it sends `Extend` with its reservation ids and then
+//!   `Reserve` with the same request id. Ids are derived from request and target, so every home
+//!   computes the same id, recognises the `Reserve` as a registration, and exempts it from
+//!   everything but memory and slots. Until then an extended id keeps the listed work of its
+//!   request alive.
+//!
+//! Work of live entries that the new home does not know is not cancelled for two lease lengths: one
+//! lease for the epoch to reach an entry whose messages are lost or late, or for that entry to lose
+//! its own lease, and one for its registration. Members that are gone get the short grace time, so
+//! that what a dead entry held is free within 8 s; an entry that is cut off from control but
+//! finishes its streams keeps them by sending `Extend` to all members that it knows.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+
+use mulberry_types::{
+    Announcement, Configuration, HomeDigest, Incarnation, MembershipEpoch, NodeId, Priority,
+    RefuseReason, Refused, Release, ReleaseOutcome, RequestId, ReservationId, Reserve, Reserved,
+    TargetDigest, TargetKind,
+};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::long_prefill_cap::LONG_PROMPT_TOKENS;
+use crate::{
+    CircuitBreaker, CleanupOrder, ColdRamp, CostModel, InventoryItem, InventoryKind,
+    LongPrefillCap, TargetInventory,
+};
+
+/// A reservation without an extension for this long is over.
+pub const RESERVATION_MS: u64 = 2_000;
+
+/// A target that is not heard for this long takes no work: two lost announcements are tolerated.
+const UNHEARD_MS: u64 = 3_000;
+
+/// A target that is not heard for this long is forgotten.
+const FORGET_TARGET_MS: u64 = 60_000;
+
+/// Longest time that work started under the previous home needs to reach the target's list.
+const TAKEOVER_WAIT_MS: u64 = 1_000;
+
+/// Grace time of listed items without a reservation: release and list may cross each other.
+const GRACE_MS: u64 = 1_000;
+
+/// Grace time after a takeover for items of live entries: two lease lengths.
+const TAKEOVER_GRACE_MS: u64 = 6_000;
+
+/// Room without a live reservation is given up after this time if the target sends no list, so that
+/// a target whose list fails does not lose memory permanently.
+const LINGER_MAX_MS: u64 = 10_000;
+
+/// Lag of load reports.
+const REPORT_LAG_MS: u64 = 2_000;
+
+/// `leaving` counts for this long, so that an older announcement that arrives later does not undo
+/// it.
+const LEAVING_MS: u64 = 5_000;
+
+/// Boot ids that a target had before; announcements with one of them are late.
+const MAX_OLD_BOOTS: usize = 8;
+
+/// Members that are gone are remembered for this long.
+const GONE_MS: u64 = 60_000;
+
+/// Prompts below this say little about the prefill speed.
+const MIN_SPEED_PROMPT_TOKENS: u64 = 1_000;
+
+/// Retry times of refusals stay within these bounds.
+const MIN_RETRY_MS: u64 = 20;
+const MAX_RETRY_MS: u64 = 5_000;
+
+/// Duration of work before any was observed.
+const DEFAULT_DURATION_MS: f64 = 1_000.0;
+
+/// Weight of a new observation in the mean duration.
+const DURATION_WEIGHT: f64 = 0.1;
+
+/// Counts of the ledger, for metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LedgerCounts {
+    pub targets: usize,
+    pub reservations: usize,
+
+    /// Room without a live reservation that may still be in use.
+    pub lingering: usize,
+
+    /// Listed items without a reservation.
+    pub unmatched: usize,
+
+    /// Expired reservations since the start.
+    pub expired: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Reservation {
+    prompt_tokens: u64,
+    total_tokens: u64,
+    priority: Priority,
+    boot_id: u64,
+    granted_ms: u64,
+    extended_ms: u64,
+
+    /// Uncorrected estimate of the time to first token at the grant.
+    estimate_ms: u64,
+
+    /// When the prefill is over, unless the entry says so earlier.
+    prefill_until_ms: u64,
+
+    /// Whether no other prompt was in prefill at the grant.
+    alone: bool,
+}
+
+/// Room that may still be in use.
+#[derive(Debug, Clone)]
+struct Lingering {
+    reservation: Reservation,
+    since_ms: u64,
+
+    /// Whether the entry has released it, so that an extension does not revive it.
+    released: bool,
+}
+
+/// A listed item without a reservation.
+#[derive(Debug, Clone, Copy)]
+struct Unmatched {
+    reservation: Option<ReservationId>,
+    tokens: u64,
+    first_seen_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Room {
+    tokens: u64,
+    slots: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Released {
+    at_ms: u64,
+    reservation: ReservationId,
+    tokens: u64,
+}
+
+#[derive(Debug)]
+struct TargetRecord {
+    announcement: Announcement,
+    heard_ms: u64,
+    acting_since_ms: u64,
+
+    /// Whether the home has counted what the target held when it took it over.
+    counted: bool,
+
+    left_heard_ms: Option<u64>,
+    old_boots: VecDeque<u64>,
+    ramp: ColdRamp,
+    breaker: CircuitBreaker,
+    cost: CostModel,
+    mean_duration_ms: f64,
+    reservations: BTreeMap<ReservationId, Reservation>,
+    lingering: BTreeMap<ReservationId, Lingering>,
+    unmatched: BTreeMap<(InventoryKind, Arc<str>), Unmatched>,
+    released: VecDeque<Released>,
+
+    /// Reported load beyond everything that the home knows of.
+    surplus: Room,
+}
+
+/// All targets of one home.
+#[derive(Debug)]
+pub struct HomeLedger {
+    node: NodeId,
+    incarnation: Incarnation,
+    epoch: MembershipEpoch,
+    configuration: Arc<Configuration>,
+    long_prefill_cap: Arc<LongPrefillCap>,
+    targets: BTreeMap<Arc<str>, TargetRecord>,
+
+    /// Target of each live or lingering reservation.
+    target_of: HashMap<ReservationId, Arc<str>>,
+
+    /// Extended ids that are not known here, with the time of the extension.
+    claimed: HashMap<ReservationId, u64>,
+
+    gone: HashMap<(NodeId, Incarnation), Option<u64>>,
+    digest_sequence: u64,
+    expired: u64,
+}
+
+/// Id of the reservation of a request on a target. Every home computes the same one.
+#[must_use]
+pub fn reservation_id(request: RequestId, target: &str) -> ReservationId {
+    let mut hash = Xxh3::new();
+    hash.update(&request.node.0.to_le_bytes());
+    hash.update(&request.incarnation.0.to_le_bytes());
+    hash.update(&request.counter.to_le_bytes());
+    hash.update(target.as_bytes());
+    ReservationId(hash.digest())
+}
+
+impl HomeLedger {
+    /// A ledger without targets.
+    #[must_use]
+    pub fn new(
+        node: NodeId,
+        incarnation: Incarnation,
+        configuration: Arc<Configuration>,
+    ) -> HomeLedger {
+        HomeLedger {
+            node,
+            incarnation,
+            epoch: MembershipEpoch::default(),
+            configuration,
+            long_prefill_cap: Arc::new(LongPrefillCap::default()),
+            targets: BTreeMap::new(),
+            target_of: HashMap::new(),
+            claimed: HashMap::new(),
+            gone: HashMap::new(),
+            digest_sequence: 0,
+            expired: 0,
+        }
+    }
+
+    /// Uses a new configuration. A target whose availability zone or itself is put back in ramps up
+    /// again, because it has been idle and its caches may be cold.
+    pub fn configuration_applied(&mut self, configuration: Arc<Configuration>) {
+        for (name, record) in &mut self.targets {
+            let zone = &record.announcement.zone;
+            let was_in =
+                self.configuration.zone_is_in(zone) && self.configuration.target_is_in(name);
+            let is_in = configuration.zone_is_in(zone) && configuration.target_is_in(name);
+            if is_in && !was_in {
+                record.ramp.restart();
+            }
+        }
+        self.configuration = configuration;
+    }
+
+    /// Uses a new cap, computed from the fleet view that includes this home's own digest.
+    pub fn long_prefill_cap_changed(&mut self, cap: Arc<LongPrefillCap>) {
+        self.long_prefill_cap = cap;
+    }
+
+    /// Drops the targets that this entry does not act for. Call it after each change of the
+    /// membership, and with a predicate that is always false when the lease is lost. A target that
+    /// comes back later is taken over anew. Digests carry `epoch` from now on.
+    pub fn retain_targets(
+        &mut self,
+        epoch: MembershipEpoch,
+        mut acts_for: impl FnMut(&str) -> bool,
+    ) {
+        self.epoch = epoch;
+        let target_of = &mut self.target_of;
+        self.targets.retain(|name, record| {
+            let keep = acts_for(name);
+            if !keep {
+                record.forget_reservations(target_of);
+            }
+            keep
+        });
+    }
+
+    /// Takes an announcement of a target that this entry acts for as home.
+    pub fn announce(&mut self, now_ms: u64, announcement: Announcement) {
+        let name = Arc::clone(&announcement.target);
+        match self.targets.get_mut(&name) {
+            Some(record) => record.announce(now_ms, announcement, &mut self.target_of),
+            None => {
+                self.targets.insert(name, TargetRecord::taken_over(now_ms, announcement));
+            }
+        }
+    }
+
+    /// Gives room on a target, or says why not and when to ask again.
+    ///
+    /// The caller has checked that it acts for the target. The same request id on the same target
+    /// gets the same reservation again, so a `Reserve` whose answer was lost may be resent. A new
+    /// attempt of a request needs a new request id, or a late `Release` of the first attempt ends
+    /// it.
+    ///
+    /// # Errors
+    /// The target takes no work, has no room, or is unknown.
+    pub fn reserve(&mut self, now_ms: u64, reserve: &Reserve) -> Result<Reserved, Refused> {
+        let Some(record) = self.targets.get_mut(&reserve.target) else {
+            return Err(refused(RefuseReason::TargetUnknown, TAKEOVER_WAIT_MS));
+        };
+        let id = reservation_id(reserve.request, &reserve.target);
+        if let Some(reservation) = record.reservations.get_mut(&id) {
+            reservation.extended_ms = now_ms;
+            return Ok(record.reserved(id));
+        }
+        let claimed = self.claimed.get(&id).is_some_and(|at_ms| now_ms < at_ms + RESERVATION_MS);
+        if claimed {
+            record.check_room(id, reserve)?;
+            self.claimed.remove(&id);
+        } else {
+            record.check_state(now_ms, &self.configuration)?;
+            if reserve.remaining_ms == 0 {
+                return Err(refused(RefuseReason::DeadlineTooShort, 0));
+            }
+            record.check_ramp(now_ms, reserve)?;
+            if record.is_engine()
+                && reserve.prompt_tokens > LONG_PROMPT_TOKENS
+                && !self.long_prefill_cap.allows_for_any_model(&reserve.target)
+            {
+                let retry_after_ms = record.retry_after_ms();
+                return Err(refused(RefuseReason::LongPrefillCap, retry_after_ms));
+            }
+            record.check_room(id, reserve)?;
+            record.breaker.work_given(now_ms);
+        }
+        record.insert(now_ms, id, reserve);
+        self.target_of.insert(id, Arc::clone(&reserve.target));
+        Ok(record.reserved(id))
+    }
+
+    /// Keeps reservations of one entry alive. Returns those that are not live here: either this
+    /// home has taken their target over and they must be registered again, or they are lost.
+    pub fn extend(
+        &mut self,
+        now_ms: u64,
+        node: NodeId,
+        incarnation: Incarnation,
+        reservations: &[ReservationId],
+    ) -> Vec<ReservationId> {
+        self.gone.remove(&(node, incarnation));
+        let mut unknown = Vec::new();
+        for &id in reservations {
+            let record = self.target_of.get(&id).and_then(|target| self.targets.get_mut(target));
+            if record.is_some_and(|record| record.extend(now_ms, id)) {
+                continue;
+            }
+            self.claimed.insert(id, now_ms);
+            unknown.push(id);
+        }
+        unknown
+    }
+
+    /// Ends a reservation. Unknown ones are ignored, as after a resent `Release`.
+    pub fn release(&mut self, now_ms: u64, release: &Release) {
+        self.claimed.remove(&release.reservation);
+        let Some(record) = self.targets.get_mut(&release.target) else {
+            return;
+        };
+        if record.release(now_ms, release) {
+            self.target_of.remove(&release.reservation);
+        }
+    }
+
+    /// The first token of a reservation has arrived, so its prompt is not queued any more. Without
+    /// this call the prompt counts as queued for its expected time.
+    pub fn first_token(&mut self, now_ms: u64, reservation: ReservationId) {
+        let record =
+            self.target_of.get(&reservation).and_then(|target| self.targets.get_mut(target));
+        if let Some(reservation) =
+            record.and_then(|record| record.reservations.get_mut(&reservation))
+        {
+            reservation.prefill_until_ms = now_ms;
+        }
+    }
+
+    /// Ends what was not extended, and forgets targets that are not heard. Call it every 100 ms.
+    pub fn expire(&mut self, now_ms: u64) {
+        for record in self.targets.values_mut() {
+            self.expired += record.expire(now_ms, &mut self.target_of);
+        }
+        let target_of = &mut self.target_of;
+        self.targets.retain(|_, record| {
+            let keep =
+                now_ms < record.heard_ms + FORGET_TARGET_MS || !record.reservations.is_empty();
+            if !keep {
+                record.forget_reservations(target_of);
+            }
+            keep
+        });
+        self.claimed.retain(|_, at_ms| now_ms < *at_ms + RESERVATION_MS);
+        self.gone.retain(|_, since_ms| now_ms < *since_ms.get_or_insert(now_ms) + GONE_MS);
+    }
+
+    /// A member has left or expired. Its live reservations stay while they are extended, because an
+    /// entry that is cut off from control finishes its streams; its other work loses the long grace
+    /// time.
+    pub fn member_gone(&mut self, node: NodeId, incarnation: Incarnation) {
+        self.gone.insert((node, incarnation), None);
+    }
+
+    /// Summary of all targets for the other entries.
+    #[must_use]
+    pub fn digest(&mut self, now_ms: u64) -> HomeDigest {
+        self.digest_sequence += 1;
+        HomeDigest {
+            node: self.node,
+            incarnation: self.incarnation,
+            epoch: self.epoch,
+            sequence: self.digest_sequence,
+            targets: self
+                .targets
+                .values()
+                .map(|record| record.digest(now_ms, &self.configuration))
+                .collect(),
+        }
+    }
+
+    /// Compares a target's own list with the reservations. Returns what is to be ended: what has
+    /// belonged to no live reservation for the grace time. The orders are repeated by later calls
+    /// until the target does not list the item any more.
+    pub fn reconcile(
+        &mut self,
+        now_ms: u64,
+        target: &str,
+        inventory: &TargetInventory,
+    ) -> Vec<CleanupOrder> {
+        let Some(record) = self.targets.get_mut(target) else {
+            return Vec::new();
+        };
+        if inventory.boot_id != record.announcement.boot_id {
+            return Vec::new();
+        }
+        record.reconcile(now_ms, inventory, &mut self.target_of);
+        let claimed = &self.claimed;
+        let gone = &self.gone;
+        inventory
+            .items
+            .iter()
+            .filter(|item| record.is_to_be_ended(now_ms, item, claimed, gone))
+            .map(|item| match item.kind {
+                InventoryKind::Stream => CleanupOrder::CancelStream { id: Arc::clone(&item.id) },
+                InventoryKind::Export => CleanupOrder::FreeExport { id: Arc::clone(&item.id) },
+            })
+            .collect()
+    }
+
+    /// Targets whose list is to be requested now and then, with their addresses' announcements.
+    pub fn engines(&self) -> impl Iterator<Item = &Announcement> {
+        self.targets.values().filter(|record| record.is_engine()).map(|record| &record.announcement)
+    }
+
+    /// Newest announcement of a target.
+    #[must_use]
+    pub fn announcement(&self, target: &str) -> Option<&Announcement> {
+        self.targets.get(target).map(|record| &record.announcement)
+    }
+
+    /// Counts for metrics.
+    #[must_use]
+    pub fn counts(&self) -> LedgerCounts {
+        let mut counts = LedgerCounts {
+            targets: self.targets.len(),
+            expired: self.expired,
+            ..LedgerCounts::default()
+        };
+        for record in self.targets.values() {
+            counts.reservations += record.reservations.len();
+            counts.lingering += record.lingering.len();
+            counts.unmatched += record.unmatched.len();
+        }
+        counts
+    }
+}
+
+impl TargetRecord {
+    fn taken_over(now_ms: u64, announcement: Announcement) -> TargetRecord {
+        let (boot_id, slots) = (announcement.boot_id, announcement.slots);
+        // An engine's ramp is set once its list is known; the report of a plain service has to do.
+        let ramp = match announcement.kind {
+            TargetKind::Engine { .. } => ColdRamp::new(boot_id, slots),
+            TargetKind::Service { .. } => {
+                ColdRamp::taken_over(boot_id, slots, announcement.load.running)
+            }
+        };
+        let mut record = TargetRecord {
+            announcement,
+            heard_ms: now_ms,
+            acting_since_ms: now_ms,
+            counted: false,
+            left_heard_ms: None,
+            old_boots: VecDeque::new(),
+            ramp,
+            breaker: CircuitBreaker::default(),
+            cost: CostModel::default(),
+            mean_duration_ms: DEFAULT_DURATION_MS,
+            reservations: BTreeMap::new(),
+            lingering: BTreeMap::new(),
+            unmatched: BTreeMap::new(),
+            released: VecDeque::new(),
+            surplus: Room::default(),
+        };
+        record.note_load(now_ms);
+        record
+    }
+
+    fn is_engine(&self) -> bool {
+        matches!(self.announcement.kind, TargetKind::Engine { .. })
+    }
+
+    fn announce(
+        &mut self,
+        now_ms: u64,
+        announcement: Announcement,
+        target_of: &mut HashMap<ReservationId, Arc<str>>,
+    ) {
+        if self.old_boots.contains(&announcement.boot_id) {
+            return;
+        }
+        let old_boot = self.announcement.boot_id;
+        if self.ramp.announced(announcement.boot_id, announcement.slots) {
+            if self.old_boots.len() == MAX_OLD_BOOTS {
+                self.old_boots.pop_front();
+            }
+            self.old_boots.push_back(old_boot);
+            // Reservations stay until they are released or expire, because entries that have not
+            // noticed the restart may still send work under them.
+            for (id, _) in std::mem::take(&mut self.lingering) {
+                target_of.remove(&id);
+            }
+            self.unmatched.clear();
+            self.left_heard_ms = None;
+            self.breaker = CircuitBreaker::default();
+            self.cost = CostModel::default();
+        }
+        self.announcement = announcement;
+        self.heard_ms = now_ms;
+        self.note_load(now_ms);
+    }
+
+    /// Takes the load report of the newest announcement.
+    fn note_load(&mut self, now_ms: u64) {
+        if self.announcement.leaving {
+            self.left_heard_ms = Some(now_ms);
+        }
+        self.forget_released(now_ms);
+        let known = self.known_room(None);
+        let released_tokens: u64 = self.released.iter().map(|released| released.tokens).sum();
+        let released_slots = u32::try_from(self.released.len()).unwrap_or(u32::MAX);
+        let load = self.announcement.load;
+        self.surplus = Room {
+            tokens: load.used_tokens.saturating_sub(known.tokens + released_tokens),
+            slots: load.running.saturating_sub(known.slots.saturating_add(released_slots)),
+        };
+    }
+
+    /// Room that the home knows to be taken, without the item of one reservation.
+    fn known_room(&self, without: Option<ReservationId>) -> Room {
+        let mut room = Room::default();
+        let lingering = self.lingering.iter().map(|(id, lingering)| (id, &lingering.reservation));
+        for (id, reservation) in self.reservations.iter().chain(lingering) {
+            if Some(*id) != without {
+                room.tokens += reservation.total_tokens;
+                room.slots += 1;
+            }
+        }
+        for ((kind, _), unmatched) in &self.unmatched {
+            if without.is_none() || unmatched.reservation != without {
+                room.tokens += unmatched.tokens;
+                room.slots += u32::from(*kind == InventoryKind::Stream);
+            }
+        }
+        room
+    }
+
+    fn taken_room(&self, without: Option<ReservationId>) -> Room {
+        let known = self.known_room(without);
+        Room { tokens: known.tokens + self.surplus.tokens, slots: known.slots + self.surplus.slots }
+    }
+
+    fn check_state(&self, now_ms: u64, configuration: &Configuration) -> Result<(), Refused> {
+        if now_ms >= self.heard_ms + UNHEARD_MS {
+            return Err(refused(RefuseReason::TargetUnknown, 1_000));
+        }
+        if self.is_leaving(now_ms) {
+            return Err(refused(RefuseReason::TargetLeaving, MAX_RETRY_MS));
+        }
+        if !configuration.target_is_in(&self.announcement.target) {
+            return Err(refused(RefuseReason::TargetDrained, MAX_RETRY_MS));
+        }
+        if !configuration.zone_is_in(&self.announcement.zone) {
+            return Err(refused(RefuseReason::ZoneOut, MAX_RETRY_MS));
+        }
+        if !self.is_counted(now_ms) {
+            let counted_ms = self.acting_since_ms + TAKEOVER_WAIT_MS;
+            let retry_after_ms = counted_ms.saturating_sub(now_ms).max(MIN_RETRY_MS);
+            return Err(refused(RefuseReason::NotHome, retry_after_ms));
+        }
+        let open_ms = self.breaker.retry_after_ms(now_ms);
+        if open_ms > 0 {
+            return Err(refused(RefuseReason::BreakerOpen, open_ms));
+        }
+        Ok(())
+    }
+
+    fn check_ramp(&self, now_ms: u64, reserve: &Reserve) -> Result<(), Refused> {
+        if self.ramp.is_warm() {
+            return Ok(());
+        }
+        let taken = self.taken_room(None).slots;
+        if taken >= self.ramp.limit() || !self.ramp.allows_prompt(reserve.prompt_tokens) {
+            let retry_after_ms = self.oldest_end_ms(now_ms);
+            return Err(refused(RefuseReason::ColdRamp, retry_after_ms));
+        }
+        Ok(())
+    }
+
+    fn check_room(&self, id: ReservationId, reserve: &Reserve) -> Result<(), Refused> {
+        let memory_tokens = self.announcement.memory_tokens;
+        if self.is_engine() && reserve.total_tokens > memory_tokens {
+            return Err(refused(RefuseReason::NeverFits, 0));
+        }
+        let taken = self.taken_room(Some(id));
+        if taken.slots >= self.announcement.slots {
+            return Err(refused(RefuseReason::SlotsFull, self.retry_after_ms()));
+        }
+        if self.is_engine() && taken.tokens + reserve.total_tokens > memory_tokens {
+            return Err(refused(RefuseReason::MemoryFull, self.retry_after_ms()));
+        }
+        Ok(())
+    }
+
+    fn insert(&mut self, now_ms: u64, id: ReservationId, reserve: &Reserve) {
+        self.unmatched.retain(|_, unmatched| unmatched.reservation != Some(id));
+        self.lingering.remove(&id);
+        let queued = self.queued_prompt_tokens(now_ms);
+        let ahead = crate::fleet_view::tokens_ahead(&queued, reserve.priority);
+        let stated = self.announcement.prefill_tokens_per_s;
+        let expected_ms = self.cost.expected_first_token_ms(stated, ahead, reserve.prompt_tokens);
+        let reservation = Reservation {
+            prompt_tokens: reserve.prompt_tokens,
+            total_tokens: reserve.total_tokens,
+            priority: reserve.priority,
+            boot_id: self.announcement.boot_id,
+            granted_ms: now_ms,
+            extended_ms: now_ms,
+            estimate_ms: CostModel::estimate_ms(stated, ahead, reserve.prompt_tokens),
+            prefill_until_ms: now_ms + expected_ms,
+            alone: queued.iter().all(|tokens| *tokens == 0),
+        };
+        self.reservations.insert(id, reservation);
+    }
+
+    fn reserved(&self, id: ReservationId) -> Reserved {
+        Reserved {
+            reservation: id,
+            target: Arc::clone(&self.announcement.target),
+            boot_id: self.announcement.boot_id,
+            address: self.announcement.address,
+            expires_in_ms: RESERVATION_MS,
+        }
+    }
+
+    /// Whether the reservation is live now.
+    fn extend(&mut self, now_ms: u64, id: ReservationId) -> bool {
+        if let Some(reservation) = self.reservations.get_mut(&id) {
+            reservation.extended_ms = now_ms;
+            return true;
+        }
+        // The room of an expired reservation still counts, so it can be given back to its holder.
+        if self.lingering.get(&id).is_none_or(|lingering| lingering.released) {
+            return false;
+        }
+        let Some(lingering) = self.lingering.remove(&id) else {
+            return false;
+        };
+        self.reservations.insert(id, Reservation { extended_ms: now_ms, ..lingering.reservation });
+        true
+    }
+
+    /// Whether nothing is left of the reservation.
+    fn release(&mut self, now_ms: u64, release: &Release) -> bool {
+        let id = release.reservation;
+        let Some(reservation) = self.reservations.remove(&id) else {
+            if let Some(lingering) = self.lingering.get_mut(&id) {
+                lingering.released = true;
+            }
+            return false;
+        };
+        let same_boot = reservation.boot_id == self.announcement.boot_id;
+        if same_boot {
+            self.note_outcome(now_ms, &reservation, release);
+        }
+        let ended = matches!(
+            release.outcome,
+            ReleaseOutcome::Succeeded | ReleaseOutcome::Unused | ReleaseOutcome::Overloaded
+        );
+        if ended || !same_boot || !self.is_engine() {
+            let tokens = reservation.total_tokens;
+            self.released.push_back(Released { at_ms: now_ms, reservation: id, tokens });
+            return true;
+        }
+        // The target may still hold the work that was cut off.
+        let lingering = Lingering { reservation, since_ms: now_ms, released: true };
+        self.lingering.insert(id, lingering);
+        false
+    }
+
+    fn note_outcome(&mut self, now_ms: u64, reservation: &Reservation, release: &Release) {
+        match release.outcome {
+            ReleaseOutcome::Unused | ReleaseOutcome::Cancelled => self.breaker.cancelled(),
+            ReleaseOutcome::Succeeded => {
+                self.breaker.succeeded();
+                self.ramp.succeeded();
+            }
+            ReleaseOutcome::Overloaded => {
+                self.breaker.cancelled();
+                self.ramp.failed();
+            }
+            ReleaseOutcome::Failed => {
+                self.breaker.failed(now_ms);
+                self.ramp.failed();
+            }
+        }
+        let duration_ms = now_ms.saturating_sub(reservation.granted_ms) as f64;
+        self.mean_duration_ms += DURATION_WEIGHT * (duration_ms - self.mean_duration_ms);
+        let Some(first_token_ms) = release.first_token_ms else {
+            return;
+        };
+        self.cost.observe(reservation.prompt_tokens, reservation.estimate_ms, first_token_ms);
+        if reservation.alone && reservation.prompt_tokens >= MIN_SPEED_PROMPT_TOKENS {
+            let speed = reservation.prompt_tokens as f64 * 1_000.0 / first_token_ms.max(1) as f64;
+            self.ramp.measured(speed, self.announcement.prefill_tokens_per_s);
+        }
+    }
+
+    /// Number of reservations that expired.
+    fn expire(&mut self, now_ms: u64, target_of: &mut HashMap<ReservationId, Arc<str>>) -> u64 {
+        let is_engine = self.is_engine();
+        let mut expired = 0;
+        let overdue: Vec<ReservationId> = self
+            .reservations
+            .iter()
+            .filter(|(_, reservation)| now_ms >= reservation.extended_ms + RESERVATION_MS)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in overdue {
+            let Some(reservation) = self.reservations.remove(&id) else {
+                continue;
+            };
+            expired += 1;
+            if is_engine && reservation.boot_id == self.announcement.boot_id {
+                let lingering = Lingering { reservation, since_ms: now_ms, released: false };
+                self.lingering.insert(id, lingering);
+            } else {
+                target_of.remove(&id);
+            }
+        }
+        self.lingering.retain(|id, lingering| {
+            let keep = now_ms < lingering.since_ms + LINGER_MAX_MS;
+            if !keep {
+                target_of.remove(id);
+            }
+            keep
+        });
+        self.forget_released(now_ms);
+        expired
+    }
+
+    fn forget_released(&mut self, now_ms: u64) {
+        while self.released.front().is_some_and(|released| now_ms >= released.at_ms + REPORT_LAG_MS)
+        {
+            self.released.pop_front();
+        }
+    }
+
+    fn forget_reservations(&self, target_of: &mut HashMap<ReservationId, Arc<str>>) {
+        for id in self.reservations.keys().chain(self.lingering.keys()) {
+            target_of.remove(id);
+        }
+    }
+
+    fn reconcile(
+        &mut self,
+        now_ms: u64,
+        inventory: &TargetInventory,
+        target_of: &mut HashMap<ReservationId, Arc<str>>,
+    ) {
+        let target = Arc::clone(&self.announcement.target);
+        let id_of =
+            |item: &InventoryItem| item.request.map(|request| reservation_id(request, &target));
+        let listed: Vec<ReservationId> = inventory.items.iter().filter_map(id_of).collect();
+        self.lingering.retain(|id, lingering| {
+            let keep = lingering.since_ms >= inventory.requested_ms || listed.contains(id);
+            if !keep {
+                target_of.remove(id);
+            }
+            keep
+        });
+        let mut unmatched = BTreeMap::new();
+        for item in &inventory.items {
+            let id = id_of(item);
+            let is_known = id.is_some_and(|id| {
+                self.reservations.contains_key(&id)
+                    || self.lingering.contains_key(&id)
+                    || self.released.iter().any(|released| {
+                        released.reservation == id && released.at_ms >= inventory.requested_ms
+                    })
+            });
+            if is_known {
+                continue;
+            }
+            let key = (item.kind, Arc::clone(&item.id));
+            let first_seen_ms =
+                self.unmatched.get(&key).map_or(now_ms, |unmatched| unmatched.first_seen_ms);
+            unmatched
+                .insert(key, Unmatched { reservation: id, tokens: item.tokens, first_seen_ms });
+        }
+        self.unmatched = unmatched;
+        if !self.counted && inventory.requested_ms >= self.acting_since_ms + TAKEOVER_WAIT_MS {
+            self.counted = true;
+            let streams =
+                inventory.items.iter().filter(|item| item.kind == InventoryKind::Stream).count();
+            let running = u32::try_from(streams).unwrap_or(u32::MAX);
+            let (boot_id, slots) = (self.announcement.boot_id, self.announcement.slots);
+            self.ramp = ColdRamp::taken_over(boot_id, slots, running);
+        }
+        self.note_load(now_ms);
+    }
+
+    fn is_to_be_ended(
+        &self,
+        now_ms: u64,
+        item: &InventoryItem,
+        claimed: &HashMap<ReservationId, u64>,
+        gone: &HashMap<(NodeId, Incarnation), Option<u64>>,
+    ) -> bool {
+        let id = item.request.map(|request| reservation_id(request, &self.announcement.target));
+        let is_claimed =
+            id.and_then(|id| claimed.get(&id)).is_some_and(|at_ms| now_ms < at_ms + RESERVATION_MS);
+        if is_claimed || item.age_ms < GRACE_MS {
+            return false;
+        }
+        let unmatched = self.unmatched.get(&(item.kind, Arc::clone(&item.id)));
+        let lingering = id.and_then(|id| self.lingering.get(&id));
+        let since_ms = match (unmatched, lingering) {
+            (Some(unmatched), _) => unmatched.first_seen_ms,
+            (None, Some(lingering)) => lingering.since_ms,
+            (None, None) => return false,
+        };
+        let maker_is_gone = item
+            .request
+            .is_none_or(|request| gone.contains_key(&(request.node, request.incarnation)));
+        // A lingering reservation was known here, so its holder needs no time to register it.
+        let grace_until_ms = if lingering.is_some() || maker_is_gone {
+            since_ms + GRACE_MS
+        } else {
+            (since_ms + GRACE_MS).max(self.acting_since_ms + TAKEOVER_GRACE_MS)
+        };
+        now_ms >= grace_until_ms
+    }
+
+    /// A plain service has no list, so the time alone decides.
+    fn is_counted(&self, now_ms: u64) -> bool {
+        self.counted || (!self.is_engine() && now_ms >= self.acting_since_ms + TAKEOVER_WAIT_MS)
+    }
+
+    fn is_leaving(&self, now_ms: u64) -> bool {
+        self.left_heard_ms.is_some_and(|heard_ms| now_ms < heard_ms + LEAVING_MS)
+    }
+
+    fn queued_prompt_tokens(&self, now_ms: u64) -> [u64; 3] {
+        let mut queued = [0; 3];
+        for reservation in self.reservations.values() {
+            if now_ms < reservation.prefill_until_ms {
+                queued[reservation.priority as usize] += reservation.prompt_tokens;
+            }
+        }
+        queued
+    }
+
+    /// Expected time until some room becomes free.
+    fn retry_after_ms(&self) -> u64 {
+        let running = self.reservations.len().max(1) as f64;
+        ((self.mean_duration_ms / running) as u64).clamp(MIN_RETRY_MS, MAX_RETRY_MS)
+    }
+
+    /// Expected time until the oldest reservation ends.
+    fn oldest_end_ms(&self, now_ms: u64) -> u64 {
+        let oldest_ms = self.reservations.values().map(|reservation| reservation.granted_ms).min();
+        let age_ms = oldest_ms.map_or(0, |granted_ms| now_ms.saturating_sub(granted_ms));
+        (self.mean_duration_ms as u64).saturating_sub(age_ms).clamp(MIN_RETRY_MS, MAX_RETRY_MS)
+    }
+
+    fn digest(&self, now_ms: u64, configuration: &Configuration) -> TargetDigest {
+        let announcement = &self.announcement;
+        let taken = self.taken_room(None);
+        let takes_work = self.check_state(now_ms, configuration).is_ok();
+        let long_prefill = self.reservations.values().any(|reservation| {
+            reservation.prompt_tokens > LONG_PROMPT_TOKENS && now_ms < reservation.prefill_until_ms
+        });
+        TargetDigest {
+            target: Arc::clone(&announcement.target),
+            boot_id: announcement.boot_id,
+            kind: announcement.kind.clone(),
+            address: announcement.address,
+            zone: Arc::clone(&announcement.zone),
+            memory_tokens: announcement.memory_tokens,
+            free_tokens: announcement.memory_tokens.saturating_sub(taken.tokens),
+            free_slots: self.ramp.limit().saturating_sub(taken.slots),
+            slots: announcement.slots,
+            prefill_tokens_per_s: self.cost.tokens_per_s(announcement.prefill_tokens_per_s),
+            queued_prompt_tokens: self.queued_prompt_tokens(now_ms),
+            long_prefill,
+            takes_work,
+        }
+    }
+}
+
+fn refused(reason: RefuseReason, retry_after_ms: u64) -> Refused {
+    Refused { reason, retry_after_ms }
+}
--- a/crates/mulberry-policy/src/lib.rs
+++ b/crates/mulberry-policy/src/lib.rs
@@ -1,1 +1,43 @@
-//! Routing, admission, reservation and retry decisions.
+//! Decisions of entries and homes: where a request goes, whether it is admitted, what a home
+//! reserves, and what happens after a failure.
+//!
+//! Everything here is pure. Callers pass events and `now_ms`, a monotonic time in milliseconds, and
+//! get decisions back; nothing reads a clock, opens a socket or file, or starts a thread. Random
+//! numbers come from generators with a seed that the caller chooses.
+
+mod admission;
+mod circuit_breaker;
+mod cold_ramp;
+mod cost_model;
+mod fair_queue;
+mod fleet_view;
+mod home_ledger;
+mod homes;
+mod in_flight;
+mod lease;
+mod long_prefill_cap;
+mod placement;
+mod reservation_hold;
+mod retry_budget;
+mod retry_decision;
+mod target_inventory;
+
+pub use admission::{Admission, AdmissionDecision, AdmissionRequest};
+pub use circuit_breaker::CircuitBreaker;
+pub use cold_ramp::ColdRamp;
+pub use cost_model::CostModel;
+pub use fair_queue::{FairQueue, PlacementClass, QueueFull, QueuedRequest};
+pub use fleet_view::{Backlog, FleetView};
+pub use home_ledger::{HomeLedger, LedgerCounts, RESERVATION_MS, reservation_id};
+pub use homes::Homes;
+pub use in_flight::{AddedLoad, AddedLoads, InFlight};
+pub use lease::{EntryLease, GrantEffect};
+pub use long_prefill_cap::{LONG_PROMPT_TOKENS, LongPrefillCap};
+pub use placement::{
+    Candidate, NoCandidateReason, Placement, PlacementPolicy, PlacementRequest, Ranking, Segment,
+    SplitPlan, SplitRefused,
+};
+pub use reservation_hold::ReservationHold;
+pub use retry_budget::{Backoff, RetryBudget, RetryKey};
+pub use retry_decision::{FailedAttempt, FailedOutcome, RetryDecision};
+pub use target_inventory::{CleanupOrder, InventoryItem, InventoryKind, TargetInventory};
--- /dev/null
+++ b/crates/mulberry-policy/src/retry_decision.rs
@@ -0,0 +1,92 @@
+//! What to do after an attempt has failed.
+
+use mulberry_types::Repeatability;
+
+/// What is known about a failed attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FailedAttempt {
+    pub repeatability: Repeatability,
+
+    /// Whether any byte of the call may have left this entry for the target.
+    pub bytes_may_have_left: bool,
+
+    /// Whether the target answered and said that it did not run the call.
+    pub target_says_not_run: bool,
+
+    /// Whether the target answered completely, so that the call ran.
+    pub target_answered: bool,
+
+    /// Tokens or bytes of the answer that were sent to the caller.
+    pub sent_to_caller: u64,
+
+    /// Whether the engine can continue an answer from a cursor.
+    pub engine_resumes: bool,
+
+    /// Time until the deadline.
+    pub remaining_ms: u64,
+
+    /// Least time that another attempt needs to be of use.
+    pub needed_ms: u64,
+
+    /// Whether the retry budget has a retry left.
+    pub budget_left: bool,
+}
+
+/// What a caller is told about a call that failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FailedOutcome {
+    NotRun,
+    Ran,
+    Unknown,
+}
+
+/// What to do after an attempt has failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryDecision {
+    /// Run the request again from its start.
+    Retry,
+
+    /// Continue the answer behind what the caller has.
+    Resume { cursor: u64 },
+
+    /// Tell the caller.
+    FailVisible { outcome: FailedOutcome },
+}
+
+impl RetryDecision {
+    /// Decides; the order of the checks is: safety of a repetition, then use, then budget.
+    #[must_use]
+    pub fn decide(attempt: &FailedAttempt) -> RetryDecision {
+        let outcome = attempt.outcome();
+        let fail = RetryDecision::FailVisible { outcome };
+        if attempt.target_answered {
+            return fail;
+        }
+        if attempt.repeatability == Repeatability::AtMostOnce && outcome != FailedOutcome::NotRun {
+            return fail;
+        }
+        if attempt.remaining_ms <= attempt.needed_ms || !attempt.budget_left {
+            return fail;
+        }
+        if attempt.sent_to_caller == 0 {
+            return RetryDecision::Retry;
+        }
+        if attempt.engine_resumes {
+            return RetryDecision::Resume { cursor: attempt.sent_to_caller };
+        }
+        fail
+    }
+}
+
+impl FailedAttempt {
+    /// What is true about the call at this moment.
+    fn outcome(&self) -> FailedOutcome {
+        if self.target_answered || self.sent_to_caller > 0 {
+            return FailedOutcome::Ran;
+        }
+        if !self.bytes_may_have_left || self.target_says_not_run {
+            return FailedOutcome::NotRun;
+        }
+        FailedOutcome::Unknown
+    }
+}
