Add the entry instance

Cause: callers, targets and control meet in the entry; without it no request is served end to end.

Calls that must not run twice are claimed in the replicated log first.

Ruled out: asking homes without turns, because requests that are refused would then overtake those that wait.

Not measured yet; it compiles and waits for the control instance.

--- /dev/null
+++ b/crates/mulberry-entry/src/admissions.rs
@@ -0,0 +1,36 @@
+//! Admission by deadline, per model or service.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use mulberry_policy::{Admission, AdmissionDecision, AdmissionRequest, Backlog};
+
+/// Admission of each model and service.
+#[derive(Debug, Default)]
+pub struct Admissions {
+    services: Mutex<HashMap<Arc<str>, Admission>>,
+}
+
+impl Admissions {
+    /// Decides whether a request can finish in time, and how long it needs at least.
+    pub fn decide(
+        &self,
+        service: &Arc<str>,
+        request: &AdmissionRequest,
+        backlog: &Backlog,
+    ) -> (AdmissionDecision, u64) {
+        let mut services = self.lock();
+        let admission = services.entry(service.clone()).or_default();
+        (admission.decide(request, backlog), admission.own_ms(request, backlog))
+    }
+
+    /// Notes a finished answer.
+    pub fn answer_finished(&self, service: &Arc<str>, answer_tokens: u64, decode_ms: u64) {
+        let mut services = self.lock();
+        services.entry(service.clone()).or_default().answer_finished(answer_tokens, decode_ms);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Arc<str>, Admission>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/mulberry-entry/src/entry.rs
@@ -0,0 +1,297 @@
+//! State of an entry that its threads share, and what changes it.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use mulberry_peers::{PeerClientSettings, PeerSecret};
+use mulberry_platform::Health;
+use mulberry_policy::{GrantEffect, HomeLedger, Placement, PlacementPolicy, RetryBudget};
+use mulberry_services::ServiceClient;
+use mulberry_targets::{EngineClient, EngineClientSettings};
+use mulberry_types::{
+    Announcement, ConfigurationUpdate, Grant, HomeReply, HomeRequest, Incarnation, Member,
+    Membership, NodeId, RefuseReason, Refused, RequestId, Reserve,
+};
+
+use crate::admissions::Admissions;
+use crate::clock::Clock;
+use crate::dispatcher::Dispatcher;
+use crate::fleet_holder::FleetHolder;
+use crate::in_force::ConfigurationHolder;
+use crate::lease_state::LeaseState;
+use crate::metrics::EntryMetrics;
+use crate::peer_links::PeerLinks;
+use crate::rooms::RoomTable;
+use crate::settings::{EntrySettings, PlacementSetting};
+use crate::workspace_limits::WorkspaceLimits;
+
+/// Time after which a target asks again when its home cannot take the announcement.
+const NOT_HOME_RETRY_MS: u64 = 500;
+
+/// State that the threads of an entry share.
+#[derive(Debug)]
+pub struct Entry {
+    pub settings: EntrySettings,
+    pub clock: Clock,
+    pub node: NodeId,
+    pub incarnation: Incarnation,
+
+    /// Address under which the other entries reach this one.
+    pub peer_address: std::net::SocketAddr,
+
+    pub health: Arc<Health>,
+    pub metrics: EntryMetrics,
+    pub configuration: ConfigurationHolder,
+    pub lease: LeaseState,
+    pub links: PeerLinks,
+    pub fleet: FleetHolder,
+    pub rooms: RoomTable,
+    pub dispatcher: Dispatcher,
+    pub admissions: Admissions,
+    pub workspace_limits: WorkspaceLimits,
+    pub placement: Placement,
+    pub engines: EngineClient,
+    pub services: ServiceClient,
+    ledger: Mutex<HomeLedger>,
+    retries: Mutex<RetryBudget>,
+    next_request: AtomicU64,
+}
+
+impl Entry {
+    pub fn new(
+        settings: EntrySettings,
+        incarnation: Incarnation,
+        peer_address: std::net::SocketAddr,
+        secret: PeerSecret,
+        peer_settings: PeerClientSettings,
+        shared: (Arc<Health>, EntryMetrics),
+    ) -> Entry {
+        let (health, metrics) = shared;
+        let node = settings.node();
+        let clock = Clock::new();
+        let engine_settings = EngineClientSettings {
+            silence_limit_ms: settings.engine_silence_ms,
+            ..EngineClientSettings::default()
+        };
+        Entry {
+            clock,
+            node,
+            incarnation,
+            peer_address,
+            health,
+            metrics,
+            configuration: ConfigurationHolder::default(),
+            lease: LeaseState::new(clock, node, incarnation),
+            links: PeerLinks::new(node, secret, peer_settings),
+            fleet: FleetHolder::new(),
+            rooms: RoomTable::default(),
+            dispatcher: Dispatcher::new(settings.max_queued_requests),
+            admissions: Admissions::default(),
+            workspace_limits: WorkspaceLimits::default(),
+            placement: Placement::new(settings.zone.clone(), settings.cross_zone_ms),
+            engines: EngineClient::new(engine_settings),
+            services: ServiceClient::default(),
+            ledger: Mutex::new(HomeLedger::new(node, incarnation, Arc::default())),
+            retries: Mutex::new(RetryBudget::new()),
+            next_request: AtomicU64::new(1),
+            settings,
+        }
+    }
+
+    /// A new request id. Each attempt of a request has one of its own.
+    pub fn next_request_id(&self) -> RequestId {
+        let counter = self.next_request.fetch_add(1, Ordering::Relaxed);
+        RequestId { node: self.node, incarnation: self.incarnation, counter }
+    }
+
+    /// This entry as a member.
+    pub fn as_member(&self) -> Member {
+        Member {
+            node: self.node,
+            incarnation: self.incarnation,
+            peer_address: self.peer_address,
+            zone: self.settings.zone.clone(),
+        }
+    }
+
+    /// Policy by which targets are chosen.
+    pub fn placement_policy(&self) -> PlacementPolicy {
+        match self.settings.placement {
+            PlacementSetting::ExpectedTime => PlacementPolicy::ExpectedTime,
+            PlacementSetting::RoundRobin => PlacementPolicy::RoundRobin,
+            PlacementSetting::LeastReportedLoad => PlacementPolicy::LeastReportedLoad,
+        }
+    }
+
+    /// The ledger of this home.
+    pub fn ledger(&self) -> MutexGuard<'_, HomeLedger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The retry budgets.
+    pub fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Applies a configuration update, whether pushed or granted.
+    pub fn apply_update(&self, update: ConfigurationUpdate) {
+        let Some(in_force) = self.configuration.apply(update) else { return };
+        self.ledger().configuration_applied(in_force.configuration.clone());
+        let effect = self
+            .lease
+            .update(|state, now_ms| state.lease.version_applied(in_force.version, now_ms));
+        self.after_grant(effect);
+        self.metrics.configuration_version.set(in_force.version.0 as i64);
+        tracing::info!(version = %in_force.version, "configuration_in_force");
+    }
+
+    /// Applies a membership, whether pushed or granted.
+    pub fn apply_membership(&self, membership: Membership) {
+        let membership = Arc::new(membership);
+        let before = self.lease.membership();
+        if membership.epoch <= before.epoch {
+            return;
+        }
+        self.lease.update(|state, _| state.homes.membership_applied(&membership));
+        self.retain_homes();
+        for gone in before.members.iter().filter(|member| !is_member(&membership, member)) {
+            self.ledger().member_gone(gone.node, gone.incarnation);
+        }
+        self.links.membership_applied(&membership);
+        let configuration = &self.configuration.current().configuration;
+        self.fleet.membership_applied(&membership, configuration);
+        self.metrics.membership_epoch.set(membership.epoch.0 as i64);
+        tracing::info!(
+            epoch = %membership.epoch, members = membership.members.len(), "membership_applied"
+        );
+    }
+
+    /// Applies a grant of the lease.
+    pub fn apply_grant(&self, mut grant: Grant) {
+        if let Some(update) = grant.update.take() {
+            self.apply_update(update);
+        }
+        if let Some(membership) = grant.membership.take() {
+            self.apply_membership(membership);
+        }
+        let version = self.configuration.current().version;
+        let effect =
+            self.lease.update(|state, now_ms| state.lease.granted(&grant, version, now_ms));
+        self.after_grant(effect);
+        if effect != GrantEffect::Ignored {
+            self.lease.update(|state, _| state.homes.settled(grant.settled_epoch));
+        }
+        self.health.set_ready(self.lease.is_valid());
+    }
+
+    /// Gives up the lease and with it all homes.
+    pub fn lose_lease(&self) {
+        self.lease.update(|state, _| {
+            state.lease.lost();
+            state.homes.lease_lost();
+        });
+        self.health.set_ready(false);
+        self.retain_homes();
+    }
+
+    /// Notices a lease that has run out. Called by a timer.
+    pub fn check_lease(&self) {
+        self.metrics.lease_remaining_ms.set(self.lease.remaining_ms() as i64);
+        if self.lease.has_just_expired() {
+            tracing::warn!("lease_expired");
+            self.lose_lease();
+        }
+    }
+
+    /// Handles a message of another entry, or of this one to itself.
+    pub fn home_request(&self, request: HomeRequest) -> HomeReply {
+        let now_ms = self.clock.now_ms();
+        match request {
+            HomeRequest::Announce(announcement) => self.take_announcement(now_ms, announcement),
+            HomeRequest::Reserve(reserve) => self.reserve_here(now_ms, &reserve),
+            HomeRequest::Extend { node, incarnation, reservations } => {
+                let unknown = self.ledger().extend(now_ms, node, incarnation, &reservations);
+                HomeReply::Extended { unknown }
+            }
+            HomeRequest::Release(release) => {
+                self.ledger().release(now_ms, &release);
+                self.dispatcher.pump(self);
+                HomeReply::Done
+            }
+            HomeRequest::FirstToken { reservation } => {
+                self.ledger().first_token(now_ms, reservation);
+                HomeReply::Done
+            }
+            HomeRequest::Digest(digest) => {
+                let configuration = &self.configuration.current().configuration;
+                self.fleet.digest_received(now_ms, digest, configuration);
+                self.dispatcher.pump(self);
+                HomeReply::Done
+            }
+        }
+    }
+
+    /// Takes an announcement that arrived over HTTP: keeps it or passes it on to the target's home.
+    ///
+    /// # Errors
+    /// There is no home that can be reached now; the target should ask another entry.
+    pub fn announced(&self, announcement: Announcement) -> Result<(), Refused> {
+        let membership = self.lease.membership();
+        let not_home = Refused { reason: RefuseReason::NotHome, retry_after_ms: NOT_HOME_RETRY_MS };
+        let home = membership.home_of(&announcement.target).ok_or(not_home.clone())?;
+        let request = HomeRequest::Announce(announcement);
+        if home.node == self.node {
+            return match self.home_request(request) {
+                HomeReply::Refused(refused) => Err(refused),
+                _ => Ok(()),
+            };
+        }
+        let client = self.links.client(home).ok_or(not_home.clone())?;
+        client.send(&request).map_err(|_| not_home)
+    }
+
+    fn take_announcement(&self, now_ms: u64, announcement: Announcement) -> HomeReply {
+        // The lock of the ledger is taken first, so that a loss of the home that is applied in
+        // between also removes the target again.
+        let mut ledger = self.ledger();
+        if !self.lease.acts_for(&announcement.target) {
+            return not_home(&self.lease);
+        }
+        ledger.announce(now_ms, announcement);
+        HomeReply::Done
+    }
+
+    fn reserve_here(&self, now_ms: u64, reserve: &Reserve) -> HomeReply {
+        let mut ledger = self.ledger();
+        if !self.lease.acts_for(&reserve.target) {
+            return not_home(&self.lease);
+        }
+        match ledger.reserve(now_ms, reserve) {
+            Ok(reserved) => HomeReply::Reserved(reserved),
+            Err(refused) => HomeReply::Refused(refused),
+        }
+    }
+
+    fn after_grant(&self, effect: GrantEffect) {
+        if effect == GrantEffect::ValidAfterGap {
+            tracing::info!("lease_valid");
+            self.lease.update(|state, _| state.homes.lease_lost());
+            self.retain_homes();
+        }
+    }
+
+    fn retain_homes(&self) {
+        let mut ledger = self.ledger();
+        let epoch = self.lease.membership().epoch;
+        ledger.retain_targets(epoch, |target| self.lease.acts_for(target));
+    }
+}
+
+fn not_home(lease: &LeaseState) -> HomeReply {
+    let reason = if lease.is_valid() { RefuseReason::NotHome } else { RefuseReason::LeaseLost };
+    HomeReply::Refused(Refused { reason, retry_after_ms: NOT_HOME_RETRY_MS })
+}
+
+fn is_member(membership: &Membership, member: &Member) -> bool {
+    membership.member(member.node).is_some_and(|found| found.incarnation == member.incarnation)
+}
--- /dev/null
+++ b/crates/mulberry-entry/src/instance.rs
@@ -0,0 +1,163 @@
+//! A running entry: starts its threads and servers, and stops them in order.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, Weak};
+use std::time::{Duration, Instant};
+
+use eyre::{Context, Result};
+use mulberry_http::HttpServer;
+use mulberry_peers::{PeerClientSettings, PeerSecret, PeerServer, PeerServerSettings};
+use mulberry_platform::{Health, PlatformServer};
+use mulberry_types::{ControlReply, ControlRequest, HomeReply, HomeRequest, Incarnation};
+use prometheus_client::registry::Registry;
+
+use crate::caller_server::start_caller_server;
+use crate::claims::Claims;
+use crate::control_link::ControlLink;
+use crate::entry::Entry;
+use crate::metrics::EntryMetrics;
+use crate::renewal::renew_forever;
+use crate::settings::EntrySettings;
+use crate::sweeper::Sweeper;
+use crate::target_server::start_target_server;
+use crate::timers::start_timers;
+
+/// Time for the planned leave to be committed.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Orders that were sent just before the homes were given up are over after this time.
+const ORDER_WAIT: Duration = Duration::from_millis(1_000);
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Instance {
+    entry: Arc<Entry>,
+    control: Arc<ControlLink>,
+    callers: HttpServer,
+    _targets: HttpServer,
+    _platform: PlatformServer,
+    _peers: PeerServer<HomeRequest, HomeReply>,
+}
+
+impl Instance {
+    /// Starts an entry.
+    ///
+    /// # Errors
+    /// An address is in use, the secret cannot be read, or a thread cannot be started.
+    pub fn start(settings: EntrySettings) -> Result<Instance> {
+        let secret = PeerSecret::from_file(&settings.secret_file)?;
+        let peer_listener = bind("peer_listen", settings.peer_listen)?;
+        let caller_listener = bind("caller_listen", settings.caller_listen)?;
+        let target_listener = bind("target_listen", settings.target_listen)?;
+        let platform_listener = bind("platform_listen", settings.platform_listen)?;
+        let peer_address = match settings.peer_advertise {
+            Some(address) => address,
+            None => peer_listener.local_addr()?,
+        };
+        let mut registry = Registry::default();
+        let metrics = EntryMetrics::register(&mut registry);
+        let health = Arc::new(Health::default());
+        let peer_settings = PeerClientSettings {
+            advertised_address: Some(peer_address),
+            ..PeerClientSettings::default()
+        };
+        let control_addresses = settings.control.clone();
+        let entry = Arc::new(Entry::new(
+            settings,
+            Incarnation(rand::random()),
+            peer_address,
+            secret.clone(),
+            peer_settings.clone(),
+            (health.clone(), metrics),
+        ));
+        let pushed = Arc::downgrade(&entry);
+        let control =
+            Arc::new(ControlLink::new(&control_addresses, &secret, &peer_settings, move |reply| {
+                apply_push(&pushed, reply);
+            }));
+        let home = entry.clone();
+        let peers = PeerServer::start(
+            peer_listener,
+            secret,
+            PeerServerSettings::default(),
+            move |call: mulberry_peers::Call<HomeRequest>, responder| {
+                let reply = home.home_request(call.request);
+                // The other entry has a timeout of its own if this cannot be sent.
+                let _ = responder.send(&reply);
+            },
+        )?;
+        let registry = Arc::new(Mutex::new(registry));
+        let platform = PlatformServer::start(platform_listener, health, registry)?;
+        let targets = start_target_server(target_listener, entry.clone())?;
+        let claims = Claims::start(control.clone())?;
+        let callers = start_caller_server(caller_listener, entry.clone(), claims)?;
+        start_timers(&entry)?;
+        Sweeper::start(entry.clone())?;
+        start_renewal(&entry, &control)?;
+        tracing::info!(
+            node = %entry.node, zone = %entry.settings.zone, callers = %callers.local_address(),
+            targets = %targets.local_address(), peers = %peer_address, "entry_started"
+        );
+        Ok(Instance {
+            entry,
+            control,
+            callers,
+            _targets: targets,
+            _platform: platform,
+            _peers: peers,
+        })
+    }
+
+    /// Address of the caller API.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.callers.local_address()
+    }
+
+    /// Stops in order: not ready, no new requests, running requests end, homes are handed over.
+    ///
+    /// Returns whether all running requests ended in time.
+    pub fn stop(self) -> bool {
+        let settings = &self.entry.settings;
+        self.entry.health.begin_stop();
+        tracing::info!("stop_begun");
+        // The balancer needs this time to see that the instance is not ready.
+        std::thread::sleep(Duration::from_millis(settings.stop_notice_ms));
+        self.entry.dispatcher.close();
+        let all_ended = self.callers.stop(Duration::from_millis(settings.stop_timeout_ms));
+        self.entry.lease.end();
+        self.entry.lose_lease();
+        std::thread::sleep(ORDER_WAIT);
+        let leave =
+            ControlRequest::Leave { node: self.entry.node, incarnation: self.entry.incarnation };
+        let left = self.control.call(&leave, Instant::now() + LEAVE_TIMEOUT).is_ok();
+        tracing::info!(all_ended, left, "stopped");
+        all_ended
+    }
+}
+
+fn start_renewal(entry: &Arc<Entry>, control: &Arc<ControlLink>) -> std::io::Result<()> {
+    let (entry, control) = (entry.clone(), control.clone());
+    std::thread::Builder::new()
+        .name("renewal".to_owned())
+        .spawn(move || renew_forever(&entry, &control))?;
+    Ok(())
+}
+
+fn apply_push(entry: &Weak<Entry>, reply: ControlReply) {
+    let (Some(entry), ControlReply::Update { update, membership }) = (entry.upgrade(), reply)
+    else {
+        return;
+    };
+    if let Some(update) = update {
+        entry.apply_update(update);
+    }
+    if let Some(membership) = membership {
+        entry.apply_membership(membership);
+    }
+}
+
+fn bind(field: &str, address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).wrap_err_with(|| {
+        format!("settings field {field}: cannot listen on {address}; free it or use another")
+    })
+}
--- /dev/null
+++ b/crates/mulberry-entry/src/peer_links.rs
@@ -0,0 +1,56 @@
+//! Connections to the other entries.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use mulberry_peers::{PeerClient, PeerClientSettings, PeerSecret};
+use mulberry_types::{HomeReply, HomeRequest, Member, Membership, NodeId};
+
+/// Client of one other entry.
+pub type HomeClient = PeerClient<HomeRequest, HomeReply>;
+
+/// Clients of all other members, replaced as a whole when the membership changes.
+#[derive(Debug)]
+pub struct PeerLinks {
+    own: NodeId,
+    secret: PeerSecret,
+    settings: PeerClientSettings,
+    clients: ArcSwap<HashMap<SocketAddr, Arc<HomeClient>>>,
+}
+
+impl PeerLinks {
+    pub fn new(own: NodeId, secret: PeerSecret, settings: PeerClientSettings) -> PeerLinks {
+        PeerLinks { own, secret, settings, clients: ArcSwap::default() }
+    }
+
+    /// Keeps clients of the members only. Clients of members that stay keep their connection.
+    pub fn membership_applied(&self, membership: &Membership) {
+        let current = self.clients.load_full();
+        let others = membership.members.iter().filter(|member| member.node != self.own);
+        let next = others.map(|member| {
+            let address = member.peer_address;
+            let client = current.get(&address).cloned().unwrap_or_else(|| self.connect(address));
+            (address, client)
+        });
+        self.clients.store(Arc::new(next.collect()));
+    }
+
+    /// Client of a member; `None` for this entry itself and for one that has just left.
+    pub fn client(&self, member: &Member) -> Option<Arc<HomeClient>> {
+        if member.node == self.own {
+            return None;
+        }
+        self.clients.load().get(&member.peer_address).cloned()
+    }
+
+    /// Clients of all other members.
+    pub fn all(&self) -> Vec<Arc<HomeClient>> {
+        self.clients.load().values().cloned().collect()
+    }
+
+    fn connect(&self, address: SocketAddr) -> Arc<HomeClient> {
+        Arc::new(PeerClient::new(address, self.secret.clone(), self.settings.clone(), |_| {}))
+    }
+}
--- /dev/null
+++ b/crates/mulberry-entry/src/timers.rs
@@ -0,0 +1,98 @@
+//! What happens at fixed intervals: digests, extensions, expiry.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mulberry_types::HomeRequest;
+
+use crate::entry::Entry;
+
+const TICK: Duration = Duration::from_millis(50);
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
+const DIGEST_INTERVAL: Duration = Duration::from_millis(250);
+const EXTEND_INTERVAL: Duration = Duration::from_millis(500);
+const PRUNE_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Something that is due at fixed intervals.
+struct Timer {
+    interval: Duration,
+    next: Instant,
+}
+
+impl Timer {
+    fn new(interval: Duration) -> Timer {
+        Timer { interval, next: Instant::now() }
+    }
+
+    fn is_due(&mut self) -> bool {
+        let now = Instant::now();
+        if now < self.next {
+            return false;
+        }
+        self.next = now + self.interval;
+        true
+    }
+}
+
+/// Starts the timer threads.
+///
+/// # Errors
+/// A thread cannot be started.
+pub fn start_timers(entry: &Arc<Entry>) -> std::io::Result<()> {
+    let home = entry.clone();
+    std::thread::Builder::new().name("home-timer".to_owned()).spawn(move || home_timer(&home))?;
+    let rooms = entry.clone();
+    // Extensions wait for homes that may be unreachable, so they have a thread of their own.
+    std::thread::Builder::new().name("room-timer".to_owned()).spawn(move || {
+        loop {
+            let started = Instant::now();
+            rooms.rooms.extend_all(&rooms);
+            std::thread::sleep(EXTEND_INTERVAL.saturating_sub(started.elapsed()));
+        }
+    })?;
+    Ok(())
+}
+
+fn home_timer(entry: &Entry) -> ! {
+    let mut expiry = Timer::new(EXPIRY_INTERVAL);
+    let mut digest = Timer::new(DIGEST_INTERVAL);
+    let mut prune = Timer::new(PRUNE_INTERVAL);
+    loop {
+        std::thread::sleep(TICK);
+        entry.check_lease();
+        if expiry.is_due() {
+            entry.ledger().expire(entry.clock.now_ms());
+        }
+        if digest.is_due() && entry.lease.is_valid() {
+            send_digest(entry);
+        }
+        if prune.is_due() {
+            prune_all(entry);
+        }
+        entry.dispatcher.pump(entry);
+    }
+}
+
+fn send_digest(entry: &Entry) {
+    let digest = entry.ledger().digest(entry.clock.now_ms());
+    let request = HomeRequest::Digest(digest);
+    for client in entry.links.all() {
+        // A digest that is lost is replaced by the next one.
+        let _ = client.send(&request);
+    }
+    entry.home_request(request);
+}
+
+fn prune_all(entry: &Entry) {
+    let now_ms = entry.clock.now_ms();
+    let configuration = entry.configuration.current().configuration.clone();
+    let cap = entry.fleet.prune(now_ms, &configuration);
+    entry.retries().prune(now_ms);
+    let mut ledger = entry.ledger();
+    ledger.long_prefill_cap_changed(cap);
+    let counts = ledger.counts();
+    drop(ledger);
+    entry.metrics.home_targets.set(counts.targets as i64);
+    entry.metrics.reservations.set(counts.reservations as i64);
+    entry.metrics.expired_reservations.set(counts.expired as i64);
+}
