--- /dev/null
+++ b/crates/mulberry-log/src/log_error.rs
@@ -0,0 +1,79 @@
+//! Errors of the data folder.
+
+use std::{fmt, io};
+
+/// Error of the data folder. The message names the file and the remedy.
+#[derive(Debug)]
+pub enum LogError {
+    /// Another process uses the folder.
+    Locked { folder: String },
+
+    /// The folder was written in a format that this build does not read.
+    UnknownFormat { file: String, found: u32, supported: u32 },
+
+    /// A file was changed or lost after it had been synced.
+    Damage { file: String, offset: u64, problem: String },
+
+    /// A file cannot be read or prepared at open.
+    Open { action: &'static str, file: String, source: io::Error },
+
+    /// A write failed. The folder takes no more writes until it is opened again.
+    Write { action: &'static str, file: String, source: io::Error },
+
+    /// An earlier write failed.
+    Unusable { first_error: String },
+
+    /// The writes do not continue the log. Nothing was written.
+    InvalidWrites { problem: String },
+}
+
+impl fmt::Display for LogError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LogError::Locked { folder } => write!(
+                f,
+                "data folder {folder} is in use by another process; stop that process or choose \
+                 another folder"
+            ),
+            LogError::UnknownFormat { file, found, supported } => write!(
+                f,
+                "{file} has format {found} and this build reads {supported}; use the release that \
+                 wrote it"
+            ),
+            LogError::Damage { file, offset, problem } => write!(
+                f,
+                "{file} is damaged at offset {offset}: {problem}; move the data folder away, start \
+                 with an empty one and add this replica as a new member"
+            ),
+            LogError::Open { action, file, source } => write!(
+                f,
+                "cannot {action} {file}: {source}; check the disk and the permissions, then start \
+                 again"
+            ),
+            LogError::Write { action, file, source } => write!(
+                f,
+                "cannot {action} {file}: {source}; free space or replace the disk, then restart \
+                 this instance"
+            ),
+            LogError::Unusable { first_error } => write!(
+                f,
+                "the data folder takes no writes since an earlier failure ({first_error}); restart \
+                 this instance"
+            ),
+            LogError::InvalidWrites { problem } => write!(
+                f,
+                "the writes do not continue the log: {problem}; nothing was written, report the \
+                 fault"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for LogError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            LogError::Open { source, .. } | LogError::Write { source, .. } => Some(source),
+            _ => None,
+        }
+    }
+}
