Add the engine emulator

Cause: the entry and the measurements need engines whose answers can be checked and whose time, memory and failures can be set.

Ruled out: answers of random or fixed text, because a crossed or doubled answer could then not be told from a right one; memory that grows token by token, because a running stream could then run out of it.

--- /dev/null
+++ b/crates/standin-engine/src/life.rs
@@ -0,0 +1,172 @@
+//! One life of the engine, from a start to the next restart.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{Receiver, Sender};
+
+use crate::EngineSettings;
+use crate::batch::{Batch, Counts, Event, Job, Refusal};
+use crate::fault::{Fault, PendingFaults};
+use crate::order::Weights;
+
+/// Longest wait of the engine loop without work. Imported KV cache that arrives later is noticed after this time.
+const IDLE_WAIT: Duration = Duration::from_millis(10);
+
+/// What the supervisor is asked to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Command {
+    Die,
+    Restart { down_ms: u64 },
+    RefuseConnections { ms: u64 },
+    Stop,
+}
+
+/// State of one life.
+#[derive(Debug)]
+pub(crate) struct Life {
+    pub(crate) settings: Arc<EngineSettings>,
+    pub(crate) boot_id: u64,
+    pub(crate) leaving: Arc<AtomicBool>,
+    pub(crate) accepted_while_leaving: AtomicU64,
+    weights: Mutex<Weights>,
+    batch: Mutex<Batch>,
+    faults: Mutex<PendingFaults>,
+    wake: Condvar,
+    dead: AtomicBool,
+    started: Instant,
+    commands: Sender<Command>,
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Life {
+    pub(crate) fn new(
+        settings: Arc<EngineSettings>,
+        counts: Counts,
+        leaving: Arc<AtomicBool>,
+        commands: Sender<Command>,
+    ) -> Life {
+        let boot_id = rand::random();
+        Life {
+            boot_id,
+            leaving,
+            accepted_while_leaving: AtomicU64::new(0),
+            weights: Mutex::new(Weights::new(&settings)),
+            batch: Mutex::new(Batch::new(settings.clone(), boot_id, counts)),
+            faults: Mutex::new(PendingFaults::default()),
+            wake: Condvar::new(),
+            dead: AtomicBool::new(false),
+            started: Instant::now(),
+            commands,
+            settings,
+        }
+    }
+
+    /// Computes steps until the end of this life.
+    pub(crate) fn run(&self) {
+        while let Some(step) = self.next_step() {
+            std::thread::sleep(step.duration);
+            self.wait_while_frozen();
+            self.batch().apply(&step);
+        }
+    }
+
+    fn next_step(&self) -> Option<crate::batch::Step> {
+        let mut batch = self.batch();
+        loop {
+            if self.is_dead() {
+                return None;
+            }
+            if let Some(step) = batch.plan(Instant::now()) {
+                return Some(step);
+            }
+            let waited = self.wake.wait_timeout(batch, IDLE_WAIT);
+            batch = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    /// Takes a request. A cold engine with too many of them falls over.
+    pub(crate) fn submit(&self, job: Job) -> Result<(u64, Receiver<Event>), Refusal> {
+        if self.leaving.load(Ordering::Relaxed) {
+            self.accepted_while_leaving.fetch_add(1, Ordering::Relaxed);
+        }
+        let mut batch = self.batch();
+        let ticket = batch.submit(job)?;
+        let cold = &self.settings.cold_start;
+        if self.is_cold(&batch) && batch.concurrent() > cold.max_concurrent as usize {
+            tracing::warn!(target_id = %self.settings.target, "fell_over");
+            // Without a supervisor the engine is stopping anyway.
+            let _ = self.commands.send(Command::Restart { down_ms: cold.down_ms });
+        }
+        drop(batch);
+        self.wake.notify_all();
+        Ok(ticket)
+    }
+
+    fn is_cold(&self, batch: &Batch) -> bool {
+        let cold = &self.settings.cold_start;
+        batch.successes < cold.successes
+            && self.started.elapsed() < Duration::from_millis(cold.cold_ms)
+    }
+
+    pub(crate) fn batch(&self) -> MutexGuard<'_, Batch> {
+        lock(&self.batch)
+    }
+
+    pub(crate) fn weights(&self) -> MutexGuard<'_, Weights> {
+        lock(&self.weights)
+    }
+
+    pub(crate) fn faults(&self) -> MutexGuard<'_, PendingFaults> {
+        lock(&self.faults)
+    }
+
+    pub(crate) fn inject(&self, fault: &Fault) {
+        tracing::info!(target_id = %self.settings.target, ?fault, "fault");
+        self.faults().note(fault);
+        let command = match *fault {
+            Fault::Slow { factor } => {
+                self.batch().slow_factor = factor.max(0.0);
+                return;
+            }
+            Fault::Die => Command::Die,
+            Fault::RestartCold { down_ms } => Command::Restart { down_ms },
+            Fault::RefuseConnections { ms } => Command::RefuseConnections { ms },
+            _ => return,
+        };
+        // Without a supervisor the engine is stopping anyway.
+        let _ = self.commands.send(command);
+    }
+
+    pub(crate) fn wait_while_frozen(&self) {
+        loop {
+            let until = self.faults().frozen_until;
+            let left = until.map(|until| until.saturating_duration_since(Instant::now()));
+            match left {
+                Some(left) if !left.is_zero() && !self.is_dead() => {
+                    std::thread::sleep(left.min(Duration::from_millis(20)));
+                }
+                _ => return,
+            }
+        }
+    }
+
+    pub(crate) fn is_dead(&self) -> bool {
+        self.dead.load(Ordering::Acquire)
+    }
+
+    /// Ends this life: all work and all memory are gone. Returns the counts for the next one.
+    pub(crate) fn end(&self) -> Counts {
+        let mut batch = self.batch();
+        self.dead.store(true, Ordering::Release);
+        let counts = std::mem::take(&mut batch.counts);
+        *batch = Batch::new(self.settings.clone(), self.boot_id, counts.clone());
+        drop(batch);
+        self.wake.notify_all();
+        counts
+    }
+}
