--- a/crates/standin-engine/src/batch.rs
+++ b/crates/standin-engine/src/batch.rs
@@ -120,6 +120,8 @@
     pub(crate) cached_tokens: u64,
     pub(crate) completed: u64,
     pub(crate) cancelled: u64,
+
+    /// Most memory held by streams, exports and the cache together.
     pub(crate) peak_used_tokens: u64,
 
     /// Requests that did not fit into the free memory when they arrived.
@@ -387,6 +389,7 @@
                 }
             }
         }
+        self.note_peak();
         self.note_load();
     }
 
@@ -404,7 +407,7 @@
             let Some(hash) = self.cache.evict_oldest() else { break };
             self.note_cache_event("removed", hash);
         }
-        self.counts.peak_used_tokens = self.counts.peak_used_tokens.max(self.held_tokens);
+        self.note_peak();
     }
 
     pub(crate) fn exports(&self) -> &BTreeMap<Arc<str>, Export> {
@@ -478,6 +481,11 @@
         self.works.values().filter(|work| work.state == state).count() as u32
     }
 
+    fn note_peak(&mut self) {
+        let used = self.held_tokens + self.cache.tokens();
+        self.counts.peak_used_tokens = self.counts.peak_used_tokens.max(used);
+    }
+
     fn note_load(&mut self) {
         let load = LoadReport {
             running: self.running(),
