Serve completions end to end, and let idle cold engines take a long prompt

Cause: the first end-to-end run of two entries with emulated engines found three faults. A request whose targets had all failed once was left without a candidate until its deadline. A fleet that had just started never served a prompt over 16,000 tokens, because only shorter ones opened the ramp. With two to five engines of a model, too few were eligible for prompts that need three.

Ruled out: sending warm-up prompts, which costs engine time and says nothing about the speed at full length.

--- a/crates/mulberry-entry/src/acquire.rs
+++ b/crates/mulberry-entry/src/acquire.rs
@@ -147,7 +147,13 @@
     let view = entry.fleet.view();
     let now_ms = entry.clock.now_ms();
     let policy = entry.placement_policy();
-    match entry.placement.rank(now_ms, &request, &view, &configuration, policy) {
+    let mut ranking = entry.placement.rank(now_ms, &request, &view, &configuration, policy);
+    if is_exhausted(&ranking) && !request.excluded.is_empty() {
+        // Every target has failed once. Another try at one of them beats none.
+        let request = PlacementRequest { excluded: Vec::new(), ..request.clone() };
+        ranking = entry.placement.rank(now_ms, &request, &view, &configuration, policy);
+    }
+    match ranking {
         Ranking::Candidates(candidates) => ask_candidates(entry, job, ask, &candidates),
         Ranking::Nothing { reason: NoCandidateReason::BeyondOneEngine, .. } => {
             match entry.placement.plan_split(now_ms, &request, &view, &configuration) {
@@ -166,6 +172,10 @@
     }
 }
 
+fn is_exhausted(ranking: &Ranking) -> bool {
+    matches!(ranking, Ranking::Nothing { reason: NoCandidateReason::NoneReady, .. })
+}
+
 fn ask_candidates(entry: &Entry, job: &Job, ask: &Ask, candidates: &[Candidate]) -> Turn {
     let mut pause_ms = MAX_PAUSE_MS;
     for candidate in candidates {
--- a/crates/mulberry-entry/src/instance.rs
+++ b/crates/mulberry-entry/src/instance.rs
@@ -34,8 +34,8 @@
     entry: Arc<Entry>,
     control: Arc<ControlLink>,
     callers: HttpServer,
-    _targets: HttpServer,
-    _platform: PlatformServer,
+    targets: HttpServer,
+    platform: PlatformServer,
     _peers: PeerServer<HomeRequest, HomeReply>,
 }
 
@@ -98,14 +98,7 @@
             node = %entry.node, zone = %entry.settings.zone, callers = %callers.local_address(),
             targets = %targets.local_address(), peers = %peer_address, "entry_started"
         );
-        Ok(Instance {
-            entry,
-            control,
-            callers,
-            _targets: targets,
-            _platform: platform,
-            _peers: peers,
-        })
+        Ok(Instance { entry, control, callers, targets, platform, _peers: peers })
     }
 
     /// Address of the caller API.
@@ -113,6 +106,16 @@
         self.callers.local_address()
     }
 
+    /// Address at which targets announce themselves.
+    pub fn target_address(&self) -> SocketAddr {
+        self.targets.local_address()
+    }
+
+    /// Address of health checks and metrics.
+    pub fn platform_address(&self) -> SocketAddr {
+        self.platform.local_address()
+    }
+
     /// Stops in order: not ready, no new requests, running requests end, homes are handed over.
     ///
     /// Returns whether all running requests ended in time.
--- /dev/null
+++ b/crates/mulberry-entry/tests/common/mod.rs
@@ -0,0 +1,356 @@
+//! A small fleet in one process: entries, emulated targets, and a control instance that applies commands without a log.
+
+#![allow(clippy::unwrap_used, dead_code)]
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use mulberry_entry::{EntrySettings, Instance};
+use mulberry_peers::{Call, PeerSecret, PeerServer, PeerServerSettings, Responder};
+use mulberry_state::{Command, FleetState, Reply, StateLimits};
+use mulberry_types::{
+    Change, ChangeId, ChangeOperation, ControlPortReply, ControlPortRequest, ControlReply,
+    ControlRequest, Grant, MembershipEpoch, NodeId, Operation, Priority, Renew, Repeatability,
+    Service, ServiceKind, Workspace,
+};
+use standin_engine::{Engine, EngineSettings, expected_answer};
+
+/// Longer than anything that these tests wait for.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+pub const MODEL: &str = "model-a";
+pub const KEY: &str = "test-key";
+
+/// SHA-256 of [`KEY`].
+const KEY_SHA256: &str = "62af8704764faf8ea82fc61ce9c4c3908b6cb97d463a634e9e587d7c885db0ef";
+
+const SECRET: &str = "0123456789abcdef0123456789abcdef";
+
+/// A control instance without a log. It answers renewals at once, unless told not to.
+pub struct FakeControl {
+    shared: Arc<Shared>,
+    server: PeerServer<ControlPortRequest, ControlPortReply>,
+}
+
+struct Shared {
+    state: Mutex<FleetState>,
+    applied_epochs: Mutex<BTreeMap<NodeId, MembershipEpoch>>,
+    silent: AtomicBool,
+    index: AtomicU64,
+}
+
+impl FakeControl {
+    pub fn start() -> FakeControl {
+        let shared = Arc::new(Shared {
+            state: Mutex::new(FleetState::new(StateLimits::default())),
+            applied_epochs: Mutex::default(),
+            silent: AtomicBool::new(false),
+            index: AtomicU64::new(1),
+        });
+        let handler = shared.clone();
+        let server = PeerServer::start(
+            TcpListener::bind("127.0.0.1:0").unwrap(),
+            PeerSecret::new(SECRET).unwrap(),
+            PeerServerSettings::default(),
+            move |call: Call<ControlPortRequest>, responder: Responder<ControlPortReply>| {
+                let ControlPortRequest::Entry(request) = call.request else { return };
+                if let Some(reply) = handler.answer(request) {
+                    let _ = responder.send(&ControlPortReply::Entry(reply));
+                }
+            },
+        )
+        .unwrap();
+        FakeControl { shared, server }
+    }
+
+    /// Stops or starts to answer.
+    pub fn set_silent(&self, silent: bool) {
+        self.shared.silent.store(silent, Ordering::SeqCst);
+    }
+
+    /// Applies operations and pushes them to the entries.
+    pub fn change(&self, operations: Vec<ChangeOperation>) {
+        let mut state = self.shared.state.lock().unwrap();
+        let before = state.version();
+        let index = self.shared.next_index();
+        let change = Change {
+            id: ChangeId(format!("change-{index}").into()),
+            operator: "test".into(),
+            expected_version: before,
+            operations,
+        };
+        state.apply(index, &Command::Change { now_ms: index, change });
+        assert!(state.version() > before, "the change was rejected");
+        let update = state.update_since(before);
+        let push = ControlPortReply::Entry(ControlReply::Update { update, membership: None });
+        self.server.pusher().push_all(&push).unwrap();
+    }
+}
+
+impl Shared {
+    fn next_index(&self) -> u64 {
+        self.index.fetch_add(1, Ordering::SeqCst)
+    }
+
+    fn answer(&self, request: ControlRequest) -> Option<ControlReply> {
+        if self.silent.load(Ordering::SeqCst) {
+            return None;
+        }
+        let index = self.next_index();
+        let now_ms = index;
+        let command = match request {
+            ControlRequest::Renew(renew) => return Some(self.renew(index, &renew)),
+            ControlRequest::Leave { node, incarnation } => {
+                self.applied_epochs.lock().unwrap().remove(&node);
+                Command::Leave { now_ms, node, incarnation }
+            }
+            ControlRequest::Claim { key, fingerprint, request } => {
+                Command::Claim { now_ms, key, fingerprint, request }
+            }
+            ControlRequest::FinishClaim { key, request, answer } => {
+                Command::FinishClaim { now_ms, key, request, answer }
+            }
+            ControlRequest::ReleaseClaim { key, request } => {
+                Command::ReleaseClaim { now_ms, key, request }
+            }
+            ControlRequest::AbandonClaim { key, request } => {
+                Command::AbandonClaim { now_ms, key, request }
+            }
+            ControlRequest::TakePermit { target, bytes } => {
+                Command::TakePermit { now_ms, target, bytes }
+            }
+        };
+        match self.state.lock().unwrap().apply(index, &command) {
+            Reply::Claim(reply) => Some(ControlReply::Claim(reply)),
+            Reply::Permit(permit) => Some(ControlReply::Permit(permit)),
+            _ => Some(ControlReply::Done),
+        }
+    }
+
+    fn renew(&self, index: u64, renew: &Renew) -> ControlReply {
+        let mut state = self.state.lock().unwrap();
+        state.apply(index, &Command::Join { now_ms: index, member: renew.member.clone() });
+        let mut applied = self.applied_epochs.lock().unwrap();
+        applied.insert(renew.member.node, renew.have_epoch);
+        let membership = state.membership();
+        let settled = membership
+            .members
+            .iter()
+            .map(|member| applied.get(&member.node).copied().unwrap_or_default());
+        ControlReply::Granted(Grant {
+            sequence: renew.sequence,
+            lease_ms: 3_000,
+            version: state.version(),
+            epoch: membership.epoch,
+            settled_epoch: settled.min().unwrap_or_default(),
+            update: state.update_since(renew.have_version),
+            membership: (membership.epoch > renew.have_epoch).then(|| (**membership).clone()),
+        })
+    }
+}
+
+/// Entries and emulated engines.
+pub struct Fleet {
+    pub control: FakeControl,
+    pub entries: Vec<Instance>,
+    pub engines: Vec<Engine>,
+    _secret: SecretFile,
+}
+
+/// File with the shared secret, removed with the fleet.
+struct SecretFile(std::path::PathBuf);
+
+impl Drop for SecretFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+impl Fleet {
+    /// Starts `entries` entries and waits until they serve the engines with these settings.
+    pub fn start(entries: u32, engines: Vec<EngineSettings>) -> Fleet {
+        let control = FakeControl::start();
+        control.change(first_configuration());
+        let secret = write_secret();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let entries: Vec<_> = (1..=entries)
+            .map(|node| {
+                Instance::start(EntrySettings {
+                    node,
+                    caller_listen: any,
+                    target_listen: any,
+                    platform_listen: any,
+                    peer_listen: any,
+                    control: vec![control.server.local_address()],
+                    secret_file: secret.0.clone(),
+                    stop_notice_ms: 0,
+                    ..EntrySettings::default()
+                })
+                .unwrap()
+            })
+            .collect();
+        let announce_to: Vec<_> = entries.iter().map(Instance::target_address).collect();
+        let engines = engines
+            .into_iter()
+            .map(|settings| {
+                let settings = EngineSettings {
+                    announce_to: announce_to.clone(),
+                    announce_interval_ms: 200,
+                    ..settings
+                };
+                Engine::start(settings).unwrap()
+            })
+            .collect();
+        let fleet = Fleet { control, entries, engines, _secret: secret };
+        fleet.wait_until_served();
+        fleet
+    }
+
+    /// Waits until every entry answers a short prompt.
+    pub fn wait_until_served(&self) {
+        for entry in &self.entries {
+            let end = Instant::now() + PATIENCE;
+            while ask(entry.caller_address(), &prompt(40, 0), 1).status != 200 {
+                assert!(Instant::now() < end, "an entry does not serve");
+                std::thread::sleep(Duration::from_millis(50));
+            }
+        }
+    }
+
+    /// Waits until no engine holds memory for streams or exports.
+    pub fn wait_until_free(&self) {
+        let end = Instant::now() + PATIENCE;
+        for engine in &self.engines {
+            while engine.accounting()["held_tokens"].as_u64() != Some(0) {
+                assert!(Instant::now() < end, "an engine holds memory: {}", engine.accounting());
+                std::thread::sleep(Duration::from_millis(50));
+            }
+        }
+    }
+}
+
+/// Settings of a warm and fast engine.
+pub fn engine(name: &str, zone: &str) -> EngineSettings {
+    EngineSettings {
+        target: name.into(),
+        zone: zone.into(),
+        step_ms: 2,
+        prefill_tokens_per_s: 2_000_000,
+        ..EngineSettings::default()
+    }
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub body: String,
+    pub retry_after: Option<String>,
+}
+
+impl Answer {
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_str(&self.body).unwrap()
+    }
+
+    /// Text of a completion.
+    pub fn text(&self) -> String {
+        self.json()["choices"][0]["text"].as_str().unwrap_or_default().to_owned()
+    }
+
+    pub fn error_code(&self) -> String {
+        self.json()["error"]["code"].as_str().unwrap_or_default().to_owned()
+    }
+
+    pub fn outcome(&self) -> String {
+        self.json()["error"]["outcome"].as_str().unwrap_or_default().to_owned()
+    }
+}
+
+/// Sends a request with the workspace's key.
+pub fn send(request: attohttpc::RequestBuilder, body: &str) -> Answer {
+    send_with_key(request, KEY, body)
+}
+
+pub fn send_with_key(request: attohttpc::RequestBuilder, key: &str, body: &str) -> Answer {
+    let response = request
+        .bearer_auth(key)
+        .timeout(PATIENCE)
+        .read_timeout(PATIENCE)
+        .text(body)
+        .send()
+        .unwrap();
+    let status = response.status().as_u16();
+    let retry_after =
+        response.headers().get("retry-after").map(|value| value.to_str().unwrap().to_owned());
+    let body = response.text_utf8().unwrap_or_default();
+    Answer { status, body, retry_after }
+}
+
+/// Asks for a completion that is not streamed.
+pub fn ask(entry: SocketAddr, prompt: &str, max_tokens: u32) -> Answer {
+    let body = serde_json::json!({"model": MODEL, "prompt": prompt, "max_tokens": max_tokens});
+    send(attohttpc::post(format!("http://{entry}/v1/completions")), &body.to_string())
+}
+
+/// Asks for a completion and checks its text.
+pub fn ask_rightly(entry: SocketAddr, prompt: &str, max_tokens: u32) {
+    let answer = ask(entry, prompt, max_tokens);
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert_eq!(answer.text(), expected_answer(prompt, max_tokens));
+}
+
+/// A prompt of about `tokens` tokens that differs by `seed`.
+pub fn prompt(tokens: usize, seed: u64) -> String {
+    let mut text = format!("prompt {seed} ");
+    while text.len() < tokens * 4 {
+        text.push_str("sign ");
+    }
+    text
+}
+
+fn first_configuration() -> Vec<ChangeOperation> {
+    let model = Service {
+        kind: ServiceKind::Model { max_answer_tokens: 1_000 },
+        default_deadline_ms: 30_000,
+        max_deadline_ms: 60_000,
+    };
+    let operation = |prefix: &str, repeatability| Operation {
+        method: "*".into(),
+        path_prefix: prefix.into(),
+        repeatability,
+    };
+    let plain = Service {
+        kind: ServiceKind::Plain {
+            operations: vec![
+                operation("/read", Repeatability::Repeatable),
+                operation("/", Repeatability::AtMostOnce),
+            ],
+        },
+        ..model.clone()
+    };
+    let workspace = Workspace {
+        api_key_sha256: vec![KEY_SHA256.into()],
+        weight: 1,
+        priority: Priority::Normal,
+        max_in_flight: 64,
+    };
+    vec![
+        ChangeOperation::PutService { name: MODEL.into(), service: model },
+        ChangeOperation::PutService { name: "bookings".into(), service: plain },
+        ChangeOperation::PutWorkspace { name: "quotes".into(), workspace },
+    ]
+}
+
+fn write_secret() -> SecretFile {
+    static COUNT: AtomicU64 = AtomicU64::new(0);
+    let count = COUNT.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("mulberry-{}-{count}", std::process::id()));
+    let mut file = std::fs::File::create(&path).unwrap();
+    file.write_all(SECRET.as_bytes()).unwrap();
+    SecretFile(path)
+}
--- /dev/null
+++ b/crates/mulberry-entry/tests/completions.rs
@@ -0,0 +1,214 @@
+//! Completions through real entries and emulated engines, whole and under faults.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{Fleet, MODEL, PATIENCE, ask, ask_rightly, engine, prompt, send, send_with_key};
+use mulberry_types::{ChangeOperation, ZoneState};
+use standin_engine::{Fault, expected_answer};
+
+fn two_engines() -> Fleet {
+    Fleet::start(2, vec![engine("engine-1", "zone-a"), engine("engine-2", "zone-b")])
+}
+
+/// Text of all events of a stream, which must end properly.
+fn stream_text(body: &str) -> String {
+    assert!(body.ends_with("data: [DONE]\n\n"), "{body}");
+    let events = body.lines().filter_map(|line| line.strip_prefix("data: "));
+    events
+        .filter(|event| *event != "[DONE]")
+        .map(|event| {
+            let event: serde_json::Value = serde_json::from_str(event).unwrap();
+            let content = &event["choices"][0]["delta"]["content"];
+            content.as_str().unwrap_or_default().to_owned()
+        })
+        .collect()
+}
+
+#[test]
+fn answers_are_whole_with_and_without_stream() {
+    let fleet = two_engines();
+    for entry in &fleet.entries {
+        let address = entry.caller_address();
+        ask_rightly(address, &prompt(1_000, 1), 20);
+        let body = serde_json::json!({
+            "model": MODEL, "stream": true, "max_tokens": 30,
+            "messages": [{"role": "user", "content": "a neon sign"}],
+        });
+        let url = format!("http://{address}/v1/chat/completions");
+        let answer = send(attohttpc::post(url), &body.to_string());
+        assert_eq!(answer.status, 200, "{}", answer.body);
+        assert_eq!(stream_text(&answer.body), expected_answer("a neon sign\n", 30));
+    }
+    fleet.wait_until_free();
+}
+
+#[test]
+fn bad_requests_get_clear_errors() {
+    let fleet = two_engines();
+    let address = fleet.entries[0].caller_address();
+    let post = || attohttpc::post(format!("http://{address}/v1/completions"));
+    let body = |model: &str, max_tokens: u32| {
+        serde_json::json!({"model": model, "prompt": "p", "max_tokens": max_tokens}).to_string()
+    };
+    let answers = [
+        ("no JSON", send(post(), "{")),
+        ("no prompt", send(post(), r#"{"model":"model-a"}"#)),
+        ("unknown model", send(post(), &body("model-z", 1))),
+        ("plain service", send(post(), &body("bookings", 1))),
+        ("long answer", send(post(), &body(MODEL, 5_000))),
+        ("negative deadline", send(post().header("x-deadline-ms", "-5"), &body(MODEL, 1))),
+        ("long deadline", send(post().header("x-deadline-ms", "61000"), &body(MODEL, 1))),
+        ("wrong key", send_with_key(post(), "x", &body(MODEL, 1))),
+        ("wrong route", send(attohttpc::get(format!("http://{address}/v2")), "")),
+    ];
+    let lines: Vec<_> = answers
+        .iter()
+        .map(|(name, answer)| {
+            let message = answer.json()["error"]["message"].as_str().unwrap().to_owned();
+            format!(
+                "{name}: {} {} {} {message}",
+                answer.status,
+                answer.error_code(),
+                answer.outcome()
+            )
+        })
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn prompt_beyond_one_engine_is_answered_and_all_memory_is_freed() {
+    let small = |name: &str| standin_engine::EngineSettings {
+        memory_tokens: 60_000,
+        cold_start: standin_engine::ColdStartSettings { cold_ms: 0, ..Default::default() },
+        ..engine(name, "zone-a")
+    };
+    let names = ["engine-1", "engine-2", "engine-3", "engine-4", "engine-5", "engine-6"];
+    let fleet = Fleet::start(2, names.map(small).to_vec());
+    for round in 0..3 {
+        let entry = &fleet.entries[round % fleet.entries.len()];
+        ask_rightly(entry.caller_address(), &prompt(130_000, round as u64), 10);
+    }
+    fleet.wait_until_free();
+    let too_long = ask(fleet.entries[0].caller_address(), &prompt(900_000, 9), 10);
+    assert_eq!(too_long.error_code(), "prompt_too_long");
+    assert_eq!(too_long.outcome(), "not_run");
+}
+
+#[test]
+fn answers_stay_right_when_an_engine_dies_in_the_middle() {
+    let slow =
+        |name: &str| standin_engine::EngineSettings { step_ms: 20, ..engine(name, "zone-a") };
+    let fleet = Fleet::start(2, vec![slow("engine-1"), slow("engine-2"), slow("engine-3")]);
+    let address = fleet.entries[0].caller_address();
+    std::thread::scope(|scope| {
+        let asks: Vec<_> = (0..3)
+            .map(|seed| scope.spawn(move || ask_rightly(address, &prompt(500, seed), 100)))
+            .collect();
+        std::thread::sleep(Duration::from_millis(700));
+        let busy = |engine: &&standin_engine::Engine| {
+            engine.accounting()["held_tokens"].as_u64() > Some(0)
+        };
+        let victim = fleet.engines.iter().find(busy).expect("no engine is busy");
+        victim.inject(&Fault::Die);
+        for ask in asks {
+            ask.join().unwrap();
+        }
+    });
+}
+
+#[test]
+fn mismatched_answers_never_reach_the_caller() {
+    let fleet = two_engines();
+    let faults = [
+        Fault::CrossedAnswer { count: 1 },
+        Fault::ForeignChunk { count: 1 },
+        Fault::DuplicateChunk { count: 1 },
+        Fault::SkipChunk { count: 1 },
+        Fault::EndEarly { count: 1 },
+    ];
+    for (round, fault) in faults.iter().enumerate() {
+        for engine in &fleet.engines {
+            engine.inject(fault);
+        }
+        for seed in 0..2 {
+            let prompt = prompt(300, 100 * round as u64 + seed);
+            ask_rightly(fleet.entries[0].caller_address(), &prompt, 20);
+        }
+    }
+}
+
+#[test]
+fn zone_that_is_out_gets_no_new_work() {
+    let fleet = two_engines();
+    let set_zone = |state| {
+        fleet.control.change(vec![ChangeOperation::SetZone { zone: "zone-b".into(), state }]);
+    };
+    let runs = &|index: usize| {
+        let accounting = fleet.engines[index].accounting();
+        accounting["runs"].as_object().map_or(0, |runs| runs.len())
+    };
+    set_zone(ZoneState::Out);
+    // The bound in the design is 3 s for an entry that is cut off.
+    std::thread::sleep(Duration::from_secs(3));
+    let before = runs(1);
+    for seed in 0..20 {
+        let entry = &fleet.entries[seed % 2];
+        ask_rightly(entry.caller_address(), &prompt(200, seed as u64), 5);
+    }
+    assert_eq!(runs(1), before, "an engine of the zone ran something");
+    set_zone(ZoneState::In);
+    // An engine that ramps up is preferred only once the other one has work, hence several callers.
+    let end = Instant::now() + PATIENCE;
+    std::thread::scope(|scope| {
+        for thread in 0..8 {
+            let address = fleet.entries[thread % 2].caller_address();
+            scope.spawn(move || {
+                let mut seed = 1_000 * (thread as u64 + 1);
+                while runs(1) == before {
+                    assert!(Instant::now() < end, "the zone gets no work after its return");
+                    seed += 1;
+                    ask_rightly(address, &prompt(200, seed), 50);
+                }
+            });
+        }
+    });
+}
+
+#[test]
+fn entry_without_lease_refuses_new_work_and_recovers() {
+    let fleet = two_engines();
+    let address = fleet.entries[0].caller_address();
+    fleet.control.set_silent(true);
+    std::thread::sleep(Duration::from_millis(3_100));
+    let answer = ask(address, "p", 1);
+    assert_eq!((answer.status, answer.error_code().as_str()), (503, "stale_configuration"));
+    assert_eq!(answer.outcome(), "not_run");
+    assert!(answer.retry_after.is_some());
+    fleet.control.set_silent(false);
+    fleet.wait_until_served();
+}
+
+#[test]
+fn planned_stop_cuts_no_stream() {
+    let slow =
+        |name: &str| standin_engine::EngineSettings { step_ms: 20, ..engine(name, "zone-a") };
+    let mut fleet = Fleet::start(2, vec![slow("engine-1"), slow("engine-2")]);
+    let stopping = fleet.entries.remove(0);
+    let address = stopping.caller_address();
+    std::thread::scope(|scope| {
+        let asks: Vec<_> = (0..4)
+            .map(|seed| scope.spawn(move || ask_rightly(address, &prompt(500, seed), 50)))
+            .collect();
+        std::thread::sleep(Duration::from_millis(300));
+        assert!(stopping.stop(), "requests were still running");
+        for ask in asks {
+            ask.join().unwrap();
+        }
+    });
+    fleet.wait_until_served();
+}
--- a/crates/mulberry-policy/src/home_ledger.rs
+++ b/crates/mulberry-policy/src/home_ledger.rs
@@ -615,7 +615,10 @@
             return Ok(());
         }
         let taken = self.taken_room(None).slots;
-        if taken >= self.ramp.limit() || !self.ramp.allows_prompt(reserve.prompt_tokens) {
+        // An idle target takes a long prompt by itself: without other traffic it would never get
+        // the successes that open the ramp, and the prompt would wait until its deadline.
+        let allows_prompt = taken == 0 || self.ramp.allows_prompt(reserve.prompt_tokens);
+        if taken >= self.ramp.limit() || !allows_prompt {
             let retry_after_ms = self.oldest_end_ms(now_ms);
             return Err(refused(RefuseReason::ColdRamp, retry_after_ms));
         }
--- a/crates/mulberry-policy/src/long_prefill_cap.rs
+++ b/crates/mulberry-policy/src/long_prefill_cap.rs
@@ -3,7 +3,7 @@
 //! The engines that may take prompts over 16,000 tokens are the first half of a ranking that every
 //! entry computes in the same way from the digests: by memory, because only large engines fit the
 //! longest prompts, then by a hash of model and engine. So all entries and homes agree without
-//! messages, up to the age of their digests. An engine that has lost its place in the first half
+//! messages, up to the age of their digests. Three engines are always eligible. An engine that has lost its place in the first half
 //! and still has a long prompt in prefill takes the place of another one, so the cap also holds
 //! while engines come and go.
 
@@ -19,6 +19,10 @@
 /// Prompts above this take part in the cap.
 pub const LONG_PROMPT_TOKENS: u64 = 16_000;
 
+/// Engines that may always take long prompts. The longest prompts need the memory of three engines,
+/// and with fewer eligible ones a model on few engines could never serve them.
+const MIN_ENGINES: usize = 3;
+
 /// Engines that may take long prompts now, by model.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct LongPrefillCap {
@@ -75,7 +79,7 @@
 }
 
 fn eligible(model: &str, mut engines: Vec<&TargetDigest>) -> BTreeSet<Arc<str>> {
-    let cap = (engines.len() / 2).max(1);
+    let cap = (engines.len() / 2).max(MIN_ENGINES.min(engines.len()));
     let seed = xxh3_64_with_seed(model.as_bytes(), 0);
     engines.sort_by_cached_key(|engine| {
         let hash = xxh3_64_with_seed(engine.target.as_bytes(), seed);
--- a/crates/mulberry-targets/src/engine_stream.rs
+++ b/crates/mulberry-targets/src/engine_stream.rs
@@ -43,6 +43,15 @@
     #[serde(default)]
     choices: Vec<Choice>,
     usage: Option<Usage>,
+
+    /// Set in the event with which an engine ends a stream that it cannot continue.
+    error: Option<ChunkError>,
+}
+
+#[derive(Deserialize)]
+struct ChunkError {
+    #[serde(default)]
+    code: String,
 }
 
 #[derive(Deserialize)]
@@ -134,6 +143,10 @@
     }
 
     fn check(&mut self, chunk: Chunk) -> Result<Option<EngineEvent>, EngineError> {
+        if let Some(error) = chunk.error {
+            let problem = format!("the engine ended the stream with code {}", error.code);
+            return Err(EngineError::Failed { problem });
+        }
         if chunk.x_request_id.as_deref() != Some(self.request_id.as_str()) {
             return Err(mismatch("a chunk carries another request id"));
         }
