--- a/crates/mulberry-log/src/data_folder.rs
+++ b/crates/mulberry-log/src/data_folder.rs
@@ -331,7 +331,7 @@
 fn apply(shape: &mut LogShape, item: &ItemRef<'_>) {
     match item {
         ItemRef::Start { .. } => {}
-        ItemRef::HardState(hard_state) => shape.hard_state = (*hard_state).clone(),
+        ItemRef::HardState(hard_state) => shape.hard_state = **hard_state,
         ItemRef::SnapshotInPlace { index, keep_after } => shape.start_after(*index, *keep_after),
         ItemRef::TruncateFrom(from) => shape.truncate(*from),
         ItemRef::Entry(entry) => shape.push(entry.index, entry.term),
--- a/crates/mulberry-log/src/recovery.rs
+++ b/crates/mulberry-log/src/recovery.rs
@@ -71,7 +71,7 @@
     for index in names.snapshots.iter().rev().skip(1) {
         folder.remove(&snapshot_name(*index))?;
     }
-    let hard_state = folder.shape.hard_state.clone();
+    let hard_state = folder.shape.hard_state;
     Ok((folder, DurableState { hard_state, snapshot, entries }))
 }
 
