mulberry-control: add the control instance

Cause: entries and operators need an instance that drives the Raft core, the data folder and the state machine, and answers renewals and changes.

One thread owns all state. A round takes all waiting inputs, syncs once, sends, applies and answers; replication to the others does not wait for the own sync. Renewals of 10 ms share one leadership confirmation.

Ruled out: member ids in the settings (they are drawn by the data folder, and a wiped disk has a new one), so each instance tells id and address in a hello and Raft messages carry the id that they are meant for. A first group is formed only when all listed instances have empty folders and name the same ids. Also ruled out: a thread for each link; a full connection queue is flushed by the rounds.

A lease granted while the removal of the member is proposed would outlive the removal, so such renewals are held until the removal is applied. A new leader does not know which lives were replaced shortly before and reports no epoch as settled for one lease.

The hello now carries the operator address of the instance as well.

The operator API is not connected yet; more tests follow.

--- /dev/null
+++ b/crates/mulberry-control/src/control_settings.rs
@@ -0,0 +1,184 @@
+//! Settings file of a control instance.
+
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use mulberry_log::LogSettings;
+use mulberry_types::SettingsError;
+use serde::{Deserialize, Serialize};
+
+/// Largest group; each further replica costs the leader one more link and raises no bound of the design.
+const MAX_PEERS: usize = 9;
+
+/// Settings of one control instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ControlSettings {
+    /// Name in logs.
+    pub name: Arc<str>,
+
+    /// Address at which entries and the other control instances reach this one. Also listened on.
+    pub peer_address: SocketAddr,
+
+    /// Address of the operator API.
+    pub operator_address: SocketAddr,
+
+    /// Address of `/livez`, `/readyz` and `/metrics`.
+    pub platform_address: SocketAddr,
+
+    /// Peer addresses of all control instances, this one included, the same on each of them.
+    pub peers: Vec<SocketAddr>,
+
+    /// Whether the instances in `peers` form a new group when all of them have empty data folders. An
+    /// instance whose disk was lost finds the others with a group and waits for them to add it.
+    pub bootstrap: bool,
+
+    /// Folder of the log and the snapshots. One folder belongs to one instance.
+    pub data_folder: PathBuf,
+
+    /// File with the secret that all processes of the system share, at least 32 bytes.
+    pub secret_file: PathBuf,
+
+    pub operators: Vec<OperatorToken>,
+
+    /// Log entries between two snapshots.
+    pub snapshot_entries: u64,
+
+    pub log: LogSettings,
+
+    /// Least level that is logged.
+    pub log_level: String,
+
+    /// Serves an endpoint that cuts, delays and freezes links at `test_faults_address`. For tests only.
+    pub test_faults: bool,
+
+    pub test_faults_address: SocketAddr,
+}
+
+/// An operator and the token of this operator.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperatorToken {
+    /// Name in the audit trail.
+    pub name: Arc<str>,
+
+    /// SHA-256 of the token as 64 lower-case hexadecimal digits.
+    pub token_sha256: Arc<str>,
+}
+
+impl Default for ControlSettings {
+    fn default() -> ControlSettings {
+        let local = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        ControlSettings {
+            name: "control-1".into(),
+            peer_address: local(7_101),
+            operator_address: local(7_201),
+            platform_address: local(7_301),
+            peers: vec![local(7_101)],
+            bootstrap: false,
+            data_folder: "data".into(),
+            secret_file: "secret".into(),
+            operators: Vec::new(),
+            snapshot_entries: 10_000,
+            log: LogSettings::default(),
+            log_level: "info".to_owned(),
+            test_faults: false,
+            test_faults_address: local(7_401),
+        }
+    }
+}
+
+impl ControlSettings {
+    /// Checks every field.
+    ///
+    /// # Errors
+    /// The first field with an impossible value; the error names its path and the remedy.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        if self.name.is_empty() || self.name.len() > 64 {
+            return Err(field("name", "use 1 to 64 bytes"));
+        }
+        let mut addresses = vec![
+            ("peer_address", self.peer_address),
+            ("operator_address", self.operator_address),
+            ("platform_address", self.platform_address),
+        ];
+        if self.test_faults {
+            addresses.push(("test_faults_address", self.test_faults_address));
+        }
+        let mut seen = BTreeSet::new();
+        for (path, address) in addresses {
+            if address.port() == 0 {
+                return Err(field(path, "port 0 cannot be reached by others; name a port"));
+            }
+            if !seen.insert(address) {
+                return Err(field(path, "is used twice; give each server an address of its own"));
+            }
+        }
+        if self.peer_address.ip().is_unspecified() {
+            return Err(field("peer_address", "is told to others; name an address of this host"));
+        }
+        self.check_peers()?;
+        self.check_operators()?;
+        if !(100..=10_000_000).contains(&self.snapshot_entries) {
+            return Err(field("snapshot_entries", "use 100 to 10,000,000"));
+        }
+        if self.log.segment_bytes < 1 << 16 || self.log.record_bytes < 1 << 16 {
+            return Err(field("log", "use at least 65,536 bytes for segments and records"));
+        }
+        if self.data_folder.as_os_str().is_empty() {
+            return Err(field("data_folder", "name a folder on a disk that survives restarts"));
+        }
+        Ok(())
+    }
+
+    fn check_peers(&self) -> Result<(), SettingsError> {
+        if self.peers.len() > MAX_PEERS {
+            return Err(field("peers", "name at most 9 control instances"));
+        }
+        if !self.peers.contains(&self.peer_address) {
+            return Err(field("peers", "lacks peer_address; list all instances with this one"));
+        }
+        let mut seen = BTreeSet::new();
+        for (index, peer) in self.peers.iter().enumerate() {
+            let path = format!("peers[{index}]");
+            if peer.port() == 0 || peer.ip().is_unspecified() {
+                return Err(field(&path, "name an address and a port that can be reached"));
+            }
+            if !seen.insert(peer) {
+                return Err(field(&path, "is named twice; name each instance once"));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_operators(&self) -> Result<(), SettingsError> {
+        let is_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+        let mut seen = BTreeSet::new();
+        for (index, operator) in self.operators.iter().enumerate() {
+            let path = |name: &str| format!("operators[{index}].{name}");
+            if operator.name.is_empty() || operator.name.len() > 128 {
+                return Err(field(&path("name"), "use 1 to 128 bytes"));
+            }
+            let digest = &operator.token_sha256;
+            if digest.len() != 64 || !digest.bytes().all(is_hex) {
+                return Err(field(
+                    &path("token_sha256"),
+                    "use the SHA-256 of the token as 64 lower-case hexadecimal digits",
+                ));
+            }
+            if !seen.insert(digest) {
+                return Err(field(
+                    &path("token_sha256"),
+                    "is used twice; give each operator a token of their own",
+                ));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn field(path: &str, problem: &str) -> SettingsError {
+    SettingsError::Field { path: path.to_owned(), problem: problem.to_owned() }
+}
--- /dev/null
+++ b/crates/mulberry-control/src/lease_table.rs
@@ -0,0 +1,218 @@
+//! Leases of the entries, in the leader's memory.
+//!
+//! Times are milliseconds of the leader's monotonic clock. Nothing here is replicated: a new leader
+//! starts with an empty table and waits one full lease before it expires any member.
+
+use std::collections::{HashMap, HashSet};
+
+use mulberry_types::{Incarnation, Membership, MembershipEpoch, NodeId};
+
+/// Length of a lease, counted by the entry from the sending of the renewal.
+pub const LEASE_MS: u64 = 3_000;
+
+/// Time after the last answered renewal after which the leader removes a member: the lease plus 1 % of
+/// clock drift on each side, rounded up.
+pub const EXPIRY_MS: u64 = 3_100;
+
+const _: () = assert!(EXPIRY_MS >= LEASE_MS + LEASE_MS / 50, "drift of 1 % on each side");
+
+/// Leases since this leader's election.
+#[derive(Debug)]
+pub struct LeaseTable {
+    elected_ms: u64,
+    records: HashMap<NodeId, LeaseRecord>,
+
+    /// Members whose removal is proposed; their renewals are not answered any more.
+    expiring: HashSet<(NodeId, Incarnation)>,
+
+    replaced: Vec<ReplacedLife>,
+}
+
+#[derive(Debug)]
+struct LeaseRecord {
+    incarnation: Incarnation,
+
+    /// Time of the last answered renewal, or else of the join or the leader's election.
+    counted_from_ms: u64,
+
+    /// Newest epoch that the entry has applied, or in which it joined.
+    have_epoch: MembershipEpoch,
+}
+
+/// A life of a node that was replaced by a later one while its lease may still be valid.
+#[derive(Debug)]
+struct ReplacedLife {
+    epoch: MembershipEpoch,
+    until_ms: u64,
+}
+
+/// Settled epochs of one moment. See [`LeaseTable::settled`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SettledEpochs {
+    lowest: Option<(NodeId, MembershipEpoch)>,
+    second_lowest: MembershipEpoch,
+    limit: MembershipEpoch,
+}
+
+impl LeaseTable {
+    /// Table of a leader elected at `now_ms`.
+    pub fn new(now_ms: u64) -> LeaseTable {
+        LeaseTable {
+            elected_ms: now_ms,
+            records: HashMap::new(),
+            expiring: HashSet::new(),
+            replaced: Vec::new(),
+        }
+    }
+
+    /// Records the epoch that a renewal carries.
+    pub fn renewed(&mut self, node: NodeId, incarnation: Incarnation, have_epoch: MembershipEpoch) {
+        let record = self.record(node, incarnation);
+        record.have_epoch = record.have_epoch.max(have_epoch);
+    }
+
+    /// Records that a renewal is answered now.
+    pub fn answered(&mut self, node: NodeId, incarnation: Incarnation, now_ms: u64) {
+        let record = self.record(node, incarnation);
+        record.counted_from_ms = record.counted_from_ms.max(now_ms);
+    }
+
+    /// Whether the removal of this life is proposed already, so that it must not get a lease.
+    pub fn is_expiring(&self, node: NodeId, incarnation: Incarnation) -> bool {
+        self.expiring.contains(&(node, incarnation))
+    }
+
+    /// Records the change of the members from `old` to `new`. `by_lease` tells that whoever has gone has
+    /// no lease: it was expired, or it left by plan.
+    pub fn members_changed(
+        &mut self,
+        old: &Membership,
+        new: &Membership,
+        by_lease: bool,
+        now_ms: u64,
+    ) {
+        for member in &old.members {
+            let stays =
+                new.member(member.node).is_some_and(|m| m.incarnation == member.incarnation);
+            if stays {
+                continue;
+            }
+            self.expiring.remove(&(member.node, member.incarnation));
+            let counted_from_ms = match self.records.get(&member.node) {
+                Some(record) if record.incarnation == member.incarnation => record.counted_from_ms,
+                _ => self.elected_ms,
+            };
+            if !by_lease {
+                let until_ms = counted_from_ms + EXPIRY_MS;
+                self.replaced.push(ReplacedLife { epoch: new.epoch, until_ms });
+            }
+            self.records.remove(&member.node);
+        }
+        for member in &new.members {
+            let stayed =
+                old.member(member.node).is_some_and(|m| m.incarnation == member.incarnation);
+            if !stayed {
+                let record = LeaseRecord {
+                    incarnation: member.incarnation,
+                    counted_from_ms: now_ms,
+                    have_epoch: new.epoch,
+                };
+                self.records.insert(member.node, record);
+            }
+        }
+    }
+
+    /// Members whose lease has certainly ended. Each is returned once.
+    pub fn take_expired(
+        &mut self,
+        membership: &Membership,
+        now_ms: u64,
+    ) -> Vec<(NodeId, Incarnation)> {
+        let mut expired = Vec::new();
+        for member in &membership.members {
+            let key = (member.node, member.incarnation);
+            let counted_from_ms = match self.records.get(&member.node) {
+                Some(record) if record.incarnation == member.incarnation => record.counted_from_ms,
+                _ => self.elected_ms,
+            };
+            if now_ms >= counted_from_ms + EXPIRY_MS && self.expiring.insert(key) {
+                expired.push(key);
+            }
+        }
+        expired
+    }
+
+    /// Forgets that a removal is proposed, because the proposal was refused.
+    pub fn cancel_expiry(&mut self, node: NodeId, incarnation: Incarnation) {
+        self.expiring.remove(&(node, incarnation));
+    }
+
+    /// Members that hold a lease at present, as far as the leader can tell.
+    pub fn valid_leases(&self, now_ms: u64) -> usize {
+        self.records.values().filter(|record| now_ms < record.counted_from_ms + LEASE_MS).count()
+    }
+
+    /// Which epochs are settled now.
+    ///
+    /// A new leader does not know which lives were replaced under an earlier leader and may hold a
+    /// lease, so it reports no epoch before one full lease has passed.
+    pub fn settled(&mut self, membership: &Membership, now_ms: u64) -> SettledEpochs {
+        self.replaced.retain(|life| now_ms < life.until_ms);
+        let replaced = self.replaced.iter().map(|life| MembershipEpoch(life.epoch.0 - 1)).min();
+        let mut limit = replaced.unwrap_or(membership.epoch).min(membership.epoch);
+        if now_ms < self.elected_ms + EXPIRY_MS {
+            limit = MembershipEpoch(0);
+        }
+        let mut lowest = None;
+        let mut second_lowest = membership.epoch;
+        for member in &membership.members {
+            let have_epoch = match self.records.get(&member.node) {
+                Some(record) if record.incarnation == member.incarnation => record.have_epoch,
+                _ => MembershipEpoch(0),
+            };
+            match lowest {
+                Some((_, epoch)) if epoch <= have_epoch => {
+                    second_lowest = second_lowest.min(have_epoch);
+                }
+                Some((_, epoch)) => {
+                    second_lowest = second_lowest.min(epoch);
+                    lowest = Some((member.node, have_epoch));
+                }
+                None => lowest = Some((member.node, have_epoch)),
+            }
+        }
+        SettledEpochs { lowest, second_lowest, limit }
+    }
+
+    fn record(&mut self, node: NodeId, incarnation: Incarnation) -> &mut LeaseRecord {
+        let new = LeaseRecord {
+            incarnation,
+            counted_from_ms: self.elected_ms,
+            have_epoch: MembershipEpoch(0),
+        };
+        let record = self.records.entry(node).or_insert(new);
+        if record.incarnation != incarnation {
+            *record = LeaseRecord {
+                incarnation,
+                counted_from_ms: self.elected_ms,
+                have_epoch: MembershipEpoch(0),
+            };
+        }
+        record
+    }
+}
+
+impl SettledEpochs {
+    /// Newest epoch that every member other than `node` has applied.
+    pub fn for_node(&self, node: NodeId) -> MembershipEpoch {
+        match self.lowest {
+            Some((lowest, epoch)) if lowest != node => epoch.min(self.limit),
+            _ => self.second_lowest.min(self.limit),
+        }
+    }
+
+    /// Newest epoch that every member has applied.
+    pub fn for_all(&self) -> MembershipEpoch {
+        self.lowest.map_or(self.limit, |(_, epoch)| epoch.min(self.limit))
+    }
+}
--- /dev/null
+++ b/crates/mulberry-control/src/replica/operator_calls.rs
@@ -0,0 +1,128 @@
+//! Calls of the operator API.
+
+use mulberry_consensus::{MemberChangeError, MemberId, Members};
+use mulberry_state::Command;
+use mulberry_types::{Change, ChangeOutcome};
+
+use super::leadership::PendingRead;
+use super::{Proposal, Refused, Replica, Waiter};
+use crate::replica_input::{
+    MembersChange, OperatorCall, OperatorCallError, OperatorRead, OperatorReadResult, OperatorReply,
+};
+
+impl Replica {
+    pub(super) fn accept_operator(&mut self, call: OperatorCall) {
+        match call {
+            OperatorCall::Change { change, reply } => self.accept_change(change, reply),
+            OperatorCall::Read { what, reply } => match &mut self.leadership {
+                Some(leadership) => leadership.waiting_reads.push(PendingRead { what, reply }),
+                None => {
+                    let _ = reply.send(Err(self.operator_elsewhere()));
+                }
+            },
+            OperatorCall::Members { change, reply } => self.accept_members_change(change, reply),
+            OperatorCall::TransferLeadership { to, reply } => {
+                let _ = reply.send(self.transfer(to));
+            }
+        }
+    }
+
+    fn accept_change(&mut self, change: Change, reply: OperatorReply<ChangeOutcome>) {
+        if self.leadership.is_none() {
+            let _ = reply.send(Err(self.operator_elsewhere()));
+            return;
+        }
+        let command = Command::Change { now_ms: self.wall_ms(), change };
+        if let Err((waiter, refused)) = self.propose(&command, Waiter::Change(reply)) {
+            let error = match refused {
+                Refused::NotLeader { leader } => OperatorCallError::NotLeader { leader },
+                Refused::TooLong(reason) => OperatorCallError::Unavailable { reason },
+            };
+            if let Waiter::Change(reply) = waiter {
+                let _ = reply.send(Err(error));
+            }
+        }
+    }
+
+    fn accept_members_change(&mut self, change: MembersChange, reply: OperatorReply<()>) {
+        if self.leadership.is_none() {
+            let _ = reply.send(Err(self.operator_elsewhere()));
+            return;
+        }
+        let members = match self.changed_members(change) {
+            Ok(members) => members,
+            Err(error) => {
+                let _ = reply.send(Err(error));
+                return;
+            }
+        };
+        match self.raft.propose_members(members) {
+            Ok(position) => {
+                tracing::info!(event = "members_change_proposed", ?change);
+                self.has_more_work = true;
+                let proposal = Proposal { term: position.term, waiter: Waiter::Members(reply) };
+                self.proposals.insert(position.index, proposal);
+            }
+            Err(error) => {
+                let _ = reply.send(Err(OperatorCallError::Members(error)));
+            }
+        }
+    }
+
+    fn changed_members(&self, change: MembersChange) -> Result<Members, OperatorCallError> {
+        let mut members = self.raft.members().clone();
+        match change {
+            MembersChange::AddLearner(member) => {
+                if self.directory.address_of(member).is_none() {
+                    return Err(OperatorCallError::UnknownMember(member));
+                }
+                if members.contains(member) {
+                    return Err(OperatorCallError::Members(MemberChangeError::Unchanged));
+                }
+                members.learners.push(member);
+            }
+            MembersChange::Promote(member) => {
+                members.learners.retain(|learner| *learner != member);
+                if !members.is_voter(member) {
+                    members.voters.push(member);
+                }
+            }
+            MembersChange::Remove(member) => {
+                members.voters.retain(|voter| *voter != member);
+                members.learners.retain(|learner| *learner != member);
+            }
+        }
+        Ok(members)
+    }
+
+    fn transfer(&mut self, to: Option<MemberId>) -> Result<(), OperatorCallError> {
+        if self.leadership.is_none() {
+            return Err(self.operator_elsewhere());
+        }
+        let target = to.or_else(|| self.transfer_candidate());
+        let Some(target) = target.filter(|target| self.raft.members().is_voter(*target)) else {
+            return Err(OperatorCallError::Unavailable {
+                reason: "there is no other voter that is active; name a voter of the group"
+                    .to_owned(),
+            });
+        };
+        tracing::info!(event = "leadership_transfer_begun", to = %target);
+        self.has_more_work = true;
+        self.raft
+            .transfer_leadership(target)
+            .map_err(|error| OperatorCallError::NotLeader { leader: error.leader })
+    }
+
+    pub(super) fn answer_read(&self, read: &PendingRead) {
+        let result = match read.what {
+            OperatorRead::Configuration => OperatorReadResult::Configuration {
+                version: self.state.version(),
+                configuration: self.state.configuration().clone(),
+            },
+            OperatorRead::Audit { first, last, max_records } => {
+                OperatorReadResult::Audit(self.state.audit(first, last, max_records))
+            }
+        };
+        let _ = read.reply.send(Ok(result));
+    }
+}
--- a/crates/mulberry-types/src/control_port.rs
+++ b/crates/mulberry-types/src/control_port.rs
@@ -47,6 +47,9 @@
     /// Peer address at which the other instances and the entries reach it.
     pub address: SocketAddr,
 
+    /// Address of its operator API, to which operators are sent while it leads.
+    pub operator_address: SocketAddr,
+
     /// Whether the data folder belongs to a group.
     pub has_group: bool,
 
