--- a/crates/mulberry-peers/tests/calls.rs
+++ b/crates/mulberry-peers/tests/calls.rs
@@ -178,7 +178,8 @@
 /// Guards against calls that wait for their whole timeout although the outcome is known earlier.
 #[test]
 fn calls_end_early_when_the_outcome_is_known() {
-    let unused = listen().local_addr().unwrap();
+    // Tests get higher ports only.
+    let unused = SocketAddr::from(([127, 0, 0, 1], 1));
     let unreachable = client(unused, PeerClientSettings::default());
     let error = unreachable.call(&1, SOON).unwrap_err();
     assert!(matches!(error, PeerError::NotSent(NotSentReason::Unreachable { .. })), "{error}");
@@ -352,7 +353,9 @@
 /// Guards against a client that never finds a restarted server, or resends an old call to it.
 #[test]
 fn a_client_reconnects_after_the_server_restarts() {
-    let mut first = TestServer::start(PeerServerSettings::default());
+    // An address of its own, so that no other test can take the port between the two servers.
+    let listener = std::net::TcpListener::bind("127.0.0.9:0").unwrap();
+    let mut first = TestServer::on(listener, PeerServerSettings::default());
     let address = first.address();
     let client = client(address, PeerClientSettings::default());
     assert_eq!(client.call(&1, SOON), Ok(2));
