Let a voter whose removal is not committed campaign

Ruled out: letting replicas vote for a shorter log (unsafe), and using the committed members only for campaigns (a promoted replica may be needed before its promotion is known to be committed).

Conclusion: a replica campaigns if it is a voter in the members at its commit index or in any later ones. Its own vote still counts only if the newest members name it.

--- a/crates/mulberry-consensus/src/members.rs
+++ b/crates/mulberry-consensus/src/members.rs
@@ -91,6 +91,12 @@
         self.changes.last()
     }
 
+    /// Members in force at `index` and all later ones.
+    pub(crate) fn since(&self, index: u64) -> impl Iterator<Item = &Members> {
+        let first = self.changes.partition_point(|&(at, _)| at <= index).saturating_sub(1);
+        self.changes[first..].iter().map(|(_, members)| members)
+    }
+
     pub(crate) fn at(&self, index: u64) -> Option<&Members> {
         self.changes.iter().rev().find(|&&(at, _)| at <= index).map(|(_, members)| members)
     }
--- a/crates/mulberry-consensus/src/raft.rs
+++ b/crates/mulberry-consensus/src/raft.rs
@@ -188,7 +188,7 @@
             self.tick_leader();
         } else if self.now_ms >= self.election_deadline_ms {
             self.reset_election_deadline();
-            if self.members().is_voter(self.settings.id) {
+            if self.may_campaign() {
                 self.start_pre_vote();
             }
         }
--- a/crates/mulberry-consensus/src/raft/election.rs
+++ b/crates/mulberry-consensus/src/raft/election.rs
@@ -50,6 +50,14 @@
         !transfer && (leads || self.now_ms < heard_ms + self.settings.election_timeout_min_ms)
     }
 
+    /// Whether this replica is a voter, or was one until a change that may not be committed.
+    ///
+    /// A replica whose removal is not committed must still campaign: it can be the only one with the longest log, to
+    /// which the remaining voters refuse their votes to each other. Its own vote does not count then.
+    pub(super) fn may_campaign(&self) -> bool {
+        self.members.since(self.commit_index).any(|members| members.is_voter(self.settings.id))
+    }
+
     pub(super) fn start_pre_vote(&mut self) {
         self.leader = None;
         self.role = RoleState::PreCandidate { votes: BTreeSet::from([self.settings.id]) };
