Test groups under random schedules of faults

Cause: safety and recovery have to be checked under combinations of faults that nobody thinks of one by one.

One process runs 3 or 5 replicas over fake links and disks: loss, duplication, reordering, one-way and two-way cuts, skewed clocks, freezes, stalled disks, crashes after each part of a write, lost disks with a new identity, demotion and promotion, transfer, compaction. After each step it checks one leader a term, an unchanged committed history and the commit index of confirmed reads; at the end recovery within 60 s of fake time and that each replica has every acknowledged command.

Ruled out: proptest's own persistence of failures, because a run must give the same verdict each time; MULBERRY_SEED and MULBERRY_CASES vary it.

--- /dev/null
+++ b/crates/mulberry-consensus/tests/consensus/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the Raft core: single replicas, directed scenarios and random schedules of whole groups.
+
+mod fake;
+mod schedules;
