--- a/crates/mulberry-entry/tests/completions.rs
+++ b/crates/mulberry-entry/tests/completions.rs
@@ -150,7 +150,7 @@
     };
     let runs = &|index: usize| {
         let accounting = fleet.engines[index].accounting();
-        accounting["runs"].as_object().map_or(0, |runs| runs.len())
+        accounting["runs"].as_object().map_or(0, serde_json::Map::len)
     };
     set_zone(ZoneState::Out);
     // The bound in the design is 3 s for an entry that is cut off.
