--- a/crates/mulberry-operators/src/messages.rs
+++ b/crates/mulberry-operators/src/messages.rs
@@ -177,6 +177,17 @@
     Unknown,
 }
 
+impl ReplicaRole {
+    /// Name in status lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            ReplicaRole::Leader => "leader",
+            ReplicaRole::Voter => "voter",
+            ReplicaRole::Learner => "learner",
+        }
+    }
+}
+
 impl From<ReplicaId> for String {
     fn from(id: ReplicaId) -> String {
         id.to_string()
