mulberry-peers: keep pushes of a lost connection from following newer ones

When the client cut a connection while its reader still had pushes buffered, the reader delivered them after, and at the same time as, those of the next connection. An entry could then see an older membership after a newer one.

The worker now waits for the reader of the old connection before it connects again, and the reader drops what is left once the connection is lost. A sequence number in each push was ruled out, since every user would have to check it.

A silent cut is now noticed 1.8 s after the last frame at the latest: pings start after 400 ms instead of 500 ms, which could take the full 2.0 s. A listener that was set to non-blocking is set back, as its accept loop would poll otherwise.

--- a/crates/mulberry-peers/src/peer_client.rs
+++ b/crates/mulberry-peers/src/peer_client.rs
@@ -11,7 +11,7 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
-use std::thread::Builder;
+use std::thread::{Builder, JoinHandle};
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, Sender, bounded};
@@ -89,6 +89,9 @@
 
     /// Frames received on all connections; tells the worker whether the peer is alive.
     received: AtomicU64,
+
+    /// Number of the connection whose frames are delivered, or 0.
+    live_connection: AtomicU64,
 }
 
 struct State<Reply> {
@@ -158,7 +161,8 @@
             max_backoff_ms: 1_000,
             max_queued_messages: 1_024,
             max_queued_bytes: 32 * 1024 * 1024,
-            ping_after_ms: 500,
+            // With the timeout below, a cut is noticed 1.8 s after the last frame at the latest.
+            ping_after_ms: 400,
             idle_ping_ms: 5_000,
             ping_timeout_ms: 1_000,
             write_timeout_ms: 1_500,
@@ -206,6 +210,7 @@
             state: Mutex::new(state),
             changed: Condvar::new(),
             received: AtomicU64::new(0),
+            live_connection: AtomicU64::new(0),
         };
         PeerClient { shared: Arc::new(shared), request: PhantomData }
     }
@@ -308,6 +313,7 @@
     pub fn close(&self) {
         let mut state = self.shared.lock();
         state.is_closed = true;
+        self.shared.live_connection.store(0, Ordering::Release);
         state.fail_queued(&NotSentReason::Closed);
         state.fail_taken(UnknownReason::Closed);
         if let Some(socket) = state.socket.take() {
@@ -453,6 +459,7 @@
             return;
         }
         state.link = Link::Lost;
+        self.live_connection.store(0, Ordering::Release);
         state.fail_taken(UnknownReason::Disconnected);
         if !state.has_heard {
             // The peer may accept connections only to close them again, for example because it
@@ -516,42 +523,56 @@
     At(Instant),
 }
 
+/// What the worker holds of the connection.
+struct OpenLink {
+    socket: Arc<TcpStream>,
+    sealer: FrameSealer,
+    liveness: Liveness,
+    reader: JoinHandle<()>,
+}
+
 fn run_worker<Reply: DeserializeOwned + Send + 'static>(shared: &Arc<Shared<Reply>>) {
+    let stats = &shared.settings.stats;
     let mut connections = 0;
-    let mut link: Option<(Arc<TcpStream>, FrameSealer, Liveness)> = None;
+    let mut link: Option<OpenLink> = None;
     let mut bytes = Vec::new();
     loop {
-        match next_step(shared, link.as_mut().map(|(_, _, liveness)| liveness)) {
-            Step::Closed => return,
+        match next_step(shared, link.as_mut().map(|link| &mut link.liveness)) {
+            Step::Closed => {
+                if link.is_some() {
+                    count(&stats.connections_closed);
+                }
+                return;
+            }
             Step::Lost => {
-                count(&shared.settings.stats.connections_closed);
-                link = None;
+                count(&stats.connections_closed);
+                // The last push of this connection ends before the first one of the next begins.
+                if link.take().is_some_and(|link| link.reader.join().is_err()) {
+                    tracing::error!(event = "peer_reader_panicked", peer = %shared.address);
+                }
             }
-            Step::Connect => match connect(shared).and_then(|(socket, key)| {
-                let socket = Arc::new(socket);
-                connections += 1;
-                let opened = open_link(shared, &socket, key, connections)?;
-                Ok((socket, opened))
-            }) {
-                Ok((socket, sealer)) => {
-                    count(&shared.settings.stats.connections_opened);
+            Step::Connect => match connect(shared)
+                .and_then(|(socket, key)| open_link(shared, socket, key, connections + 1))
+            {
+                Ok(opened) => {
+                    connections += 1;
+                    count(&stats.connections_opened);
                     if connections > 1 {
-                        count(&shared.settings.stats.reconnects);
+                        count(&stats.reconnects);
                     }
-                    let received = shared.received.load(Ordering::Acquire);
-                    link = Some((socket, sealer, Liveness::new(received)));
+                    link = Some(opened);
                 }
                 Err(cause) => fail_connect(shared, cause),
             },
             Step::Write(batch) => {
-                let Some((socket, sealer, _)) = link.as_mut() else { continue };
+                let Some(OpenLink { socket, sealer, .. }) = link.as_mut() else { continue };
                 for body in &batch {
                     sealer.seal(body, &mut bytes);
                 }
                 if (&**socket).write_all(&bytes).is_err() {
                     shared.lose(connections);
                 } else {
-                    shared.settings.stats.count_out(batch.len(), bytes.len());
+                    stats.count_out(batch.len(), bytes.len());
                 }
                 bytes.clear();
                 // A large message must not keep its memory for the life of the connection.
@@ -648,30 +669,38 @@
 /// Starts the reader of a new connection and lets messages go out on it.
 fn open_link<Reply: DeserializeOwned + Send + 'static>(
     shared: &Arc<Shared<Reply>>,
-    socket: &Arc<TcpStream>,
+    socket: TcpStream,
     key: ConnectionKey,
     connection: u64,
-) -> Result<FrameSealer, String> {
+) -> Result<OpenLink, String> {
+    let socket = Arc::new(socket);
     let mut state = shared.lock();
     if state.is_closed {
         return Err("closed".to_owned());
     }
     let opener = FrameOpener::new(key.clone(), Direction::ToClient);
     let (for_reader, reader_socket) = (shared.clone(), socket.clone());
-    // The reader waits for this lock before it can mark the connection as lost.
-    Builder::new()
+    shared.live_connection.store(connection, Ordering::Release);
+    // The reader waits for the lock of the state before it can mark the connection as lost.
+    let reader = Builder::new()
         .name("peer-client-read".to_owned())
         .stack_size(WORKER_STACK_BYTES)
         .spawn(move || {
             let _guard = ReaderGuard { shared: &for_reader, connection };
-            read_frames(&for_reader, &reader_socket, opener);
+            read_frames(&for_reader, &reader_socket, opener, connection);
         })
         .map_err(in_words)?;
     state.link = Link::Up { connection };
     state.socket = Some(socket.clone());
     state.has_heard = false;
     state.backoff = None;
-    Ok(FrameSealer::new(key, Direction::ToServer))
+    let received = shared.received.load(Ordering::Acquire);
+    Ok(OpenLink {
+        socket,
+        sealer: FrameSealer::new(key, Direction::ToServer),
+        liveness: Liveness::new(received),
+        reader,
+    })
 }
 
 fn fail_connect<Reply>(shared: &Shared<Reply>, cause: String) {
@@ -688,7 +717,9 @@
     shared: &Shared<Reply>,
     socket: &TcpStream,
     mut opener: FrameOpener,
+    connection: u64,
 ) {
+    let is_live = || shared.live_connection.load(Ordering::Acquire) == connection;
     let PeerClientSettings { stats, faults, .. } = &shared.settings;
     let mut reader = BufReader::with_capacity(READ_BUFFER_BYTES, socket);
     let mut has_heard = false;
@@ -702,7 +733,12 @@
             }
         };
         stats.count_in(HEADER_BYTES + body.len());
-        if !faults.admit_received(shared.address, || shared.lock().socket.is_none()) {
+        let is_admitted = faults.admit_received(shared.address, || !is_live());
+        // What is left of a lost connection must not follow what the next one delivers.
+        if !is_live() {
+            return;
+        }
+        if !is_admitted {
             continue;
         }
         let Some(message) = decode::<ToClient<Reply>>(&body) else {
--- a/crates/mulberry-peers/src/peer_server.rs
+++ b/crates/mulberry-peers/src/peer_server.rs
@@ -213,6 +213,7 @@
         handler: impl Fn(Call<Request>, Responder<Reply>) + Send + Sync + 'static,
         on_close: impl Fn(ClosedConnection) + Send + Sync + 'static,
     ) -> io::Result<PeerServer<Request, Reply>> {
+        listener.set_nonblocking(false)?;
         let shared = Arc::new(Shared {
             secret,
             settings,
--- a/crates/mulberry-peers/tests/calls.rs
+++ b/crates/mulberry-peers/tests/calls.rs
@@ -350,6 +350,46 @@
     assert_eq!(server.pusher().push_all(&vec![0; 17 << 20]), Err(PushError::TooLarge));
 }
 
+/// Guards against an update of a lost connection that overwrites one of the next connection.
+#[test]
+fn pushes_of_a_lost_connection_do_not_follow_those_of_the_next() {
+    let server: Arc<std::sync::OnceLock<PeerServer<u64, u64>>> = Arc::default();
+    let for_handler = server.clone();
+    let handler = move |call: Call<u64>, responder: Responder<u64>| {
+        let pusher = for_handler.wait().pusher();
+        for _ in 0..20 {
+            pusher.push(call.connection, &call.connection.0).unwrap();
+        }
+        responder.send(&call.connection.0).unwrap();
+    };
+    let started = PeerServer::start(listen(), secret(), PeerServerSettings::default(), handler);
+    let server = server.get_or_init(|| started.unwrap());
+    let pushed = Arc::new(Mutex::new(Vec::new()));
+    let for_client = pushed.clone();
+    let (release, blocked) = crossbeam::channel::bounded::<()>(0);
+    let is_first = AtomicBool::new(true);
+    let settings =
+        PeerClientSettings { ping_after_ms: 50, ping_timeout_ms: 100, ..Default::default() };
+    let client: Client =
+        PeerClient::new(server.local_address(), secret(), settings, move |connection| {
+            for_client.lock().unwrap().push(connection);
+            // Holds the first connection's reader until the client has cut that connection.
+            if is_first.swap(false, Ordering::Relaxed) {
+                let _ = blocked.recv();
+            }
+        });
+    let cut = client.call(&1, SOON);
+    assert_eq!(cut, Err(PeerError::OutcomeUnknown(UnknownReason::Disconnected)));
+    std::thread::scope(|scope| {
+        scope.spawn(|| client.call(&2, SOON));
+        // Time for pushes of the next connection, which must not come yet.
+        std::thread::sleep(Duration::from_millis(500));
+        drop(release);
+    });
+    wait_until("reconnected", || client.call(&3, SOON).is_ok());
+    assert!(pushed.lock().unwrap().is_sorted(), "{pushed:?}");
+}
+
 /// Guards against a client that never finds a restarted server, or resends an old call to it.
 #[test]
 fn a_client_reconnects_after_the_server_restarts() {
