mulberry-plan: refuse configuration files that give a name twice

A file with two workspaces of one name kept the last one without a word, and the keys of the first would have stopped working after `apply`. Custom maps in mulberry-types were ruled out: other readers of the type take no files.

Before: the second entry won.

--- a/crates/mulberry-plan/tests/plans.rs
+++ b/crates/mulberry-plan/tests/plans.rs
@@ -118,6 +118,8 @@
         r#"{"workspaces":{"quotes":{"api_key_sha256":["secret"]}}}"#,
         r#"{"zones":{"zone-1":{"state":"off"}}}"#,
         r#"{"service":{}}"#,
+        r#"{"workspaces":{"a":{"api_key_sha256":[]},"a":{"api_key_sha256":[],"weight":2}}}"#,
+        r#"{"zones":{},"workspaces":{},"zones":{"zone-1":{"state":"out"}}}"#,
         r#"{} {}"#,
         r#"{"#,
     ];
