mulberry-control: serve the operator API and test the group

Cause: the instance had no operator API and two tests.

The replica's handle implements OperatorBackend. The hello brings the operator address to which operators are sent.

Ruled out: a fixed pause before an aborted instance is started again.

--- a/crates/mulberry-control/src/control_handle.rs
+++ b/crates/mulberry-control/src/control_handle.rs
@@ -5,6 +5,7 @@
 
 use crossbeam::channel::{Sender, bounded};
 use mulberry_consensus::MemberId;
+use mulberry_operators::EntryStatus;
 use mulberry_state::AuditPage;
 use mulberry_types::{Change, ChangeOutcome, Configuration, ConfigurationVersion};
 
@@ -15,8 +16,8 @@
 use crate::replica_status::{ReplicaStatus, SharedStatus};
 
 /// Longest wait for an answer. Longer than an election, so that a call that begins shortly before one
-/// learns of the lost leadership rather than of the time.
-const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// learns of the lost leadership, and shorter than the 5 s of one attempt of the operators' client.
+const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Calls from other threads to the replica of one instance.
 #[derive(Debug, Clone)]
@@ -91,6 +92,14 @@
         self.call(|reply| OperatorCall::TransferLeadership { to, reply })
     }
 
+    /// Members as this instance sees them; empty unless it leads.
+    ///
+    /// # Errors
+    /// The replica is overloaded or has stopped.
+    pub fn entries(&self) -> Result<Vec<EntryStatus>, OperatorCallError> {
+        self.call(|reply| OperatorCall::Entries { reply })
+    }
+
     fn call<T>(
         &self,
         build: impl FnOnce(OperatorReply<T>) -> OperatorCall,
--- a/crates/mulberry-control/src/control_instance.rs
+++ b/crates/mulberry-control/src/control_instance.rs
@@ -12,6 +12,7 @@
 use crossbeam::channel::{Sender, TrySendError, bounded};
 use mulberry_consensus::MemberId;
 use mulberry_log::{DataFolder, Disk, FolderDisk, LogError};
+use mulberry_operators::{OperatorServer, OperatorTokens, operator_http_settings};
 use mulberry_peers::{
     Call, LinkFaults, PeerClientSettings, PeerSecret, PeerSecretError, PeerServer,
     PeerServerSettings, PeerStats, Responder,
@@ -43,6 +44,7 @@
     replica: Option<JoinHandle<()>>,
     peer_server: PeerServer<ControlPortRequest, ControlPortReply>,
     faults: LinkFaults,
+    operator_server: OperatorServer,
     _platform_server: PlatformServer,
     _fault_endpoint: Option<FaultEndpoint>,
 }
@@ -94,12 +96,17 @@
         disk: Box<dyn Disk>,
     ) -> Result<ControlInstance, StartError> {
         settings.check().map_err(StartError::Settings)?;
+        let tokens = OperatorTokens::new(&settings.operators).map_err(|error| {
+            let field = SettingsError::Field { path: error.path, problem: error.problem };
+            StartError::Settings(field)
+        })?;
         let secret = PeerSecret::from_file(&settings.secret_file).map_err(StartError::Secret)?;
         // First, so that a second process on the same folder fails before it takes any address.
         let (folder, durable) =
             DataFolder::open_on(disk, settings.log.clone()).map_err(StartError::Folder)?;
         let member = folder.member_id();
         let peer_listener = listen("peer_address", settings.peer_address)?;
+        let operator_listener = listen("operator_address", settings.operator_address)?;
         let platform_listener = listen("platform_address", settings.platform_address)?;
 
         let faults = LinkFaults::default();
@@ -168,15 +175,24 @@
             .name("replica".to_owned())
             .spawn(move || Replica::new(parts).run())
             .map_err(|source| StartError::Start { what: "replica thread", source })?;
+        let handle = ControlHandle::new(inputs.clone(), status);
+        let operator_server = OperatorServer::start(
+            operator_listener,
+            operator_http_settings(),
+            tokens,
+            Arc::new(handle.clone()),
+        )
+        .map_err(|source| StartError::Start { what: "operator API", source })?;
         tracing::info!(event = "started", %member, address = %settings.peer_address);
         Ok(ControlInstance {
-            handle: ControlHandle::new(inputs.clone(), status),
+            handle,
             inputs,
             health,
             is_aborted,
             replica: Some(replica),
             peer_server,
             faults,
+            operator_server,
             _platform_server: platform_server,
             _fault_endpoint: fault_endpoint,
         })
@@ -205,6 +221,7 @@
         self.health.begin_stop();
         let _ = self.inputs.send(Input::Stop);
         self.join();
+        self.operator_server.stop(LAST_ANSWERS);
         std::thread::sleep(LAST_ANSWERS);
         self.peer_server.close();
         tracing::info!(event = "stopped");
--- a/crates/mulberry-control/src/control_settings.rs
+++ b/crates/mulberry-control/src/control_settings.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use mulberry_log::LogSettings;
+use mulberry_operators::{OperatorToken, OperatorTokens};
 use mulberry_types::SettingsError;
 use serde::{Deserialize, Serialize};
 
@@ -57,17 +58,6 @@
     pub test_faults_address: SocketAddr,
 }
 
-/// An operator and the token of this operator.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct OperatorToken {
-    /// Name in the audit trail.
-    pub name: Arc<str>,
-
-    /// SHA-256 of the token as 64 lower-case hexadecimal digits.
-    pub token_sha256: Arc<str>,
-}
-
 impl Default for ControlSettings {
     fn default() -> ControlSettings {
         let local = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
@@ -120,7 +110,7 @@
             return Err(field("peer_address", "is told to others; name an address of this host"));
         }
         self.check_peers()?;
-        self.check_operators()?;
+        OperatorTokens::new(&self.operators).map_err(|error| field(&error.path, &error.problem))?;
         if !(100..=10_000_000).contains(&self.snapshot_entries) {
             return Err(field("snapshot_entries", "use 100 to 10,000,000"));
         }
@@ -152,31 +142,6 @@
         }
         Ok(())
     }
-
-    fn check_operators(&self) -> Result<(), SettingsError> {
-        let is_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
-        let mut seen = BTreeSet::new();
-        for (index, operator) in self.operators.iter().enumerate() {
-            let path = |name: &str| format!("operators[{index}].{name}");
-            if operator.name.is_empty() || operator.name.len() > 128 {
-                return Err(field(&path("name"), "use 1 to 128 bytes"));
-            }
-            let digest = &operator.token_sha256;
-            if digest.len() != 64 || !digest.bytes().all(is_hex) {
-                return Err(field(
-                    &path("token_sha256"),
-                    "use the SHA-256 of the token as 64 lower-case hexadecimal digits",
-                ));
-            }
-            if !seen.insert(digest) {
-                return Err(field(
-                    &path("token_sha256"),
-                    "is used twice; give each operator a token of their own",
-                ));
-            }
-        }
-        Ok(())
-    }
 }
 
 fn field(path: &str, problem: &str) -> SettingsError {
--- a/crates/mulberry-control/src/lease_table.rs
+++ b/crates/mulberry-control/src/lease_table.rs
@@ -5,7 +5,10 @@
 
 use std::collections::{HashMap, HashSet};
 
-use mulberry_types::{Incarnation, Membership, MembershipEpoch, NodeId};
+use mulberry_operators::EntryStatus;
+use mulberry_types::{
+    ConfigurationVersion, Incarnation, Member, Membership, MembershipEpoch, NodeId, Renew,
+};
 
 /// Length of a lease, counted by the entry from the sending of the renewal.
 pub const LEASE_MS: u64 = 3_000;
@@ -37,6 +40,8 @@
 
     /// Newest epoch that the entry has applied, or in which it joined.
     have_epoch: MembershipEpoch,
+
+    have_version: ConfigurationVersion,
 }
 
 /// A life of a node that was replaced by a later one while its lease may still be valid.
@@ -65,18 +70,38 @@
         }
     }
 
-    /// Records the epoch that a renewal carries.
-    pub fn renewed(&mut self, node: NodeId, incarnation: Incarnation, have_epoch: MembershipEpoch) {
-        let record = self.record(node, incarnation);
-        record.have_epoch = record.have_epoch.max(have_epoch);
+    /// Records what the entry of a renewal has applied. The entry must be a member.
+    pub fn renewed(&mut self, renew: &Renew) {
+        let record = self.record(renew.member.node, renew.member.incarnation);
+        record.have_epoch = record.have_epoch.max(renew.have_epoch);
+        record.have_version = record.have_version.max(renew.have_version);
     }
 
-    /// Records that a renewal is answered now.
+    /// Records that a renewal of a member is answered now.
     pub fn answered(&mut self, node: NodeId, incarnation: Incarnation, now_ms: u64) {
         let record = self.record(node, incarnation);
         record.counted_from_ms = record.counted_from_ms.max(now_ms);
     }
 
+    /// Members as the leader sees them.
+    pub fn entries(&self, membership: &Membership, now_ms: u64) -> Vec<EntryStatus> {
+        let status = |member: &Member| {
+            let record = self.records.get(&member.node);
+            let record = record.filter(|record| record.incarnation == member.incarnation);
+            let counted_from_ms = record.map_or(self.elected_ms, |record| record.counted_from_ms);
+            EntryStatus {
+                node: member.node,
+                incarnation: member.incarnation,
+                peer_address: member.peer_address,
+                zone: member.zone.clone(),
+                lease_age_ms: now_ms.saturating_sub(counted_from_ms),
+                applied_version: record.map_or_else(Default::default, |record| record.have_version),
+                applied_epoch: record.map_or_else(Default::default, |record| record.have_epoch),
+            }
+        };
+        membership.members.iter().map(status).collect()
+    }
+
     /// Whether the removal of this life is proposed already, so that it must not get a lease.
     pub fn is_expiring(&self, node: NodeId, incarnation: Incarnation) -> bool {
         self.expiring.contains(&(node, incarnation))
@@ -116,6 +141,7 @@
                     incarnation: member.incarnation,
                     counted_from_ms: now_ms,
                     have_epoch: new.epoch,
+                    have_version: ConfigurationVersion(0),
                 };
                 self.records.insert(member.node, record);
             }
@@ -185,18 +211,15 @@
     }
 
     fn record(&mut self, node: NodeId, incarnation: Incarnation) -> &mut LeaseRecord {
-        let new = LeaseRecord {
+        let new = || LeaseRecord {
             incarnation,
             counted_from_ms: self.elected_ms,
             have_epoch: MembershipEpoch(0),
+            have_version: ConfigurationVersion(0),
         };
-        let record = self.records.entry(node).or_insert(new);
+        let record = self.records.entry(node).or_insert_with(new);
         if record.incarnation != incarnation {
-            *record = LeaseRecord {
-                incarnation,
-                counted_from_ms: self.elected_ms,
-                have_epoch: MembershipEpoch(0),
-            };
+            *record = new();
         }
         record
     }
--- a/crates/mulberry-control/src/peer_directory.rs
+++ b/crates/mulberry-control/src/peer_directory.rs
@@ -16,16 +16,22 @@
 pub struct PeerDirectory {
     own_id: MemberId,
     own_address: SocketAddr,
+    own_operator_address: SocketAddr,
 
     /// All other addresses of the settings, with the newest hello from there.
     peers: BTreeMap<SocketAddr, Option<ReplicaHello>>,
 }
 
 impl PeerDirectory {
-    pub fn new(own_id: MemberId, own_address: SocketAddr, peers: &[SocketAddr]) -> PeerDirectory {
+    pub fn new(
+        own_id: MemberId,
+        own_address: SocketAddr,
+        own_operator_address: SocketAddr,
+        peers: &[SocketAddr],
+    ) -> PeerDirectory {
         let others = peers.iter().filter(|peer| **peer != own_address);
         let peers = others.map(|peer| (*peer, None)).collect();
-        PeerDirectory { own_id, own_address, peers }
+        PeerDirectory { own_id, own_address, own_operator_address, peers }
     }
 
     /// Records a hello. Returns whether it tells anything new; `None` for an address that is not in the
@@ -49,6 +55,15 @@
         hellos.find(|hello| hello.member == member.0).map(|hello| hello.address)
     }
 
+    /// Address of the operator API of a member, if it has introduced itself.
+    pub fn operator_address_of(&self, member: MemberId) -> Option<SocketAddr> {
+        if member == self.own_id {
+            return Some(self.own_operator_address);
+        }
+        let mut hellos = self.peers.values().flatten();
+        hellos.find(|hello| hello.member == member.0).map(|hello| hello.operator_address)
+    }
+
     /// Members that have introduced themselves, this one included.
     pub fn known(&self) -> Vec<(MemberId, SocketAddr)> {
         let others = self.peers.values().flatten();
--- a/crates/mulberry-control/src/replica.rs
+++ b/crates/mulberry-control/src/replica.rs
@@ -140,7 +140,8 @@
             _ => Vec::new(),
         };
         let raft = Raft::new(raft_settings(member), durable, 0);
-        let directory = PeerDirectory::new(member, parts.own_address, &parts.peers);
+        let directory =
+            PeerDirectory::new(member, parts.own_address, parts.operator_address, &parts.peers);
         Replica {
             bootstrap: parts.bootstrap,
             snapshot_entries: parts.snapshot_entries,
@@ -431,14 +432,16 @@
         }
         self.health.set_ready(has_leader);
         let role = if self.failure.is_some() { Role::Follower } else { self.raft.role() };
-        let leases = match &mut self.leadership {
-            Some(leadership) => {
-                let settled = leadership.leases.settled(self.state.membership(), now_ms).for_all();
-                self.metrics.settled_epoch.set(gauge(settled.0));
-                leadership.leases.valid_leases(now_ms)
-            }
-            None => 0,
-        };
+        let mut leases = 0;
+        let mut settled_epoch = None;
+        if let Some(leadership) = &mut self.leadership {
+            leases = leadership.leases.valid_leases(now_ms);
+            let settled = leadership.leases.settled(self.state.membership(), now_ms).for_all();
+            settled_epoch = Some(settled);
+            self.metrics.settled_epoch.set(gauge(settled.0));
+        }
+        let leader = self.raft.leader().filter(|_| self.failure.is_none());
+        let progress = self.raft.progress();
         let metrics = &self.metrics;
         metrics.role.set(match role {
             Role::Follower => 0,
@@ -462,15 +465,22 @@
             member: self.raft.id(),
             role,
             term: self.raft.term(),
-            leader: self.raft.leader().filter(|_| self.failure.is_none()),
+            leader,
+            leader_operator_address: leader
+                .and_then(|leader| self.directory.operator_address_of(leader)),
             commit_index: self.raft.commit_index(),
             applied_index: self.applied_index,
             snapshot_index: self.raft.snapshot_index(),
             members: self.raft.members().clone(),
             known: self.directory.known(),
-            progress: self.raft.progress(),
+            last_contacts_ms: progress
+                .iter()
+                .filter_map(|p| Some((p.member, now_ms.saturating_sub(p.last_acknowledged_ms?))))
+                .collect(),
+            progress,
             version: self.state.version(),
             epoch: self.state.membership().epoch,
+            settled_epoch,
             entries: self.state.membership().members.len(),
             failure: self.failure.clone(),
         });
--- a/crates/mulberry-control/src/replica/entry_requests.rs
+++ b/crates/mulberry-control/src/replica/entry_requests.rs
@@ -91,7 +91,7 @@
             return;
         }
         if self.state.membership().member(member.node) == Some(&member) {
-            leadership.leases.renewed(key.0, key.1, renewal.renew.have_epoch);
+            leadership.leases.renewed(&renewal.renew);
             leadership.waiting.push(renewal);
             return;
         }
--- a/crates/mulberry-control/src/replica/operator_calls.rs
+++ b/crates/mulberry-control/src/replica/operator_calls.rs
@@ -21,6 +21,13 @@
                 }
             },
             OperatorCall::Members { change, reply } => self.accept_members_change(change, reply),
+            OperatorCall::Entries { reply } => {
+                let now_ms = self.now_ms();
+                let entries = self.leadership.as_ref().map_or_else(Vec::new, |leadership| {
+                    leadership.leases.entries(self.state.membership(), now_ms)
+                });
+                let _ = reply.send(Ok(entries));
+            }
             OperatorCall::TransferLeadership { to, reply } => {
                 let _ = reply.send(self.transfer(to));
             }
--- a/crates/mulberry-control/src/replica_input.rs
+++ b/crates/mulberry-control/src/replica_input.rs
@@ -5,6 +5,7 @@
 
 use crossbeam::channel::Sender;
 use mulberry_consensus::{MemberChangeError, MemberId};
+use mulberry_operators::EntryStatus;
 use mulberry_peers::{ConnectionId, Responder};
 use mulberry_state::AuditPage;
 use mulberry_types::{
@@ -56,6 +57,11 @@
         reply: OperatorReply<()>,
     },
 
+    /// Members as this instance sees them; empty unless it leads.
+    Entries {
+        reply: OperatorReply<Vec<EntryStatus>>,
+    },
+
     TransferLeadership {
         to: Option<MemberId>,
         reply: OperatorReply<()>,
--- a/crates/mulberry-control/src/replica_status.rs
+++ b/crates/mulberry-control/src/replica_status.rs
@@ -13,6 +13,10 @@
     pub role: Role,
     pub term: u64,
     pub leader: Option<MemberId>,
+
+    /// Operator API of the leader, if it has introduced itself.
+    pub leader_operator_address: Option<SocketAddr>,
+
     pub commit_index: u64,
     pub applied_index: u64,
     pub snapshot_index: u64,
@@ -27,6 +31,12 @@
     pub version: ConfigurationVersion,
     pub epoch: MembershipEpoch,
 
+    /// Newest epoch that every member has applied, on the leader.
+    pub settled_epoch: Option<MembershipEpoch>,
+
+    /// Time since the leader last heard from each member, on the leader.
+    pub last_contacts_ms: Vec<(MemberId, u64)>,
+
     /// Live entries.
     pub entries: usize,
 
@@ -47,6 +57,7 @@
             role: Role::Follower,
             term: 0,
             leader: None,
+            leader_operator_address: None,
             commit_index: 0,
             applied_index: 0,
             snapshot_index: 0,
@@ -55,6 +66,8 @@
             progress: Vec::new(),
             version: ConfigurationVersion(0),
             epoch: MembershipEpoch(0),
+            settled_epoch: None,
+            last_contacts_ms: Vec::new(),
             entries: 0,
             failure: None,
         }
--- /dev/null
+++ b/crates/mulberry-control/tests/disk.rs
@@ -0,0 +1,135 @@
+//! Full and failing disks.
+
+mod support;
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use mulberry_control::{ControlInstance, OperatorCallError};
+use mulberry_log::{Disk, FolderDisk};
+use mulberry_types::{ConfigurationVersion, ControlReply};
+use support::{Group, LightEntry, set_zone, wait_for};
+
+/// Folder on a disk that has no space as long as the switch is on.
+#[derive(Debug)]
+struct FillingDisk {
+    inner: FolderDisk,
+    is_full: Arc<AtomicBool>,
+}
+
+impl FillingDisk {
+    fn check(&self) -> io::Result<()> {
+        if self.is_full.load(Ordering::Acquire) {
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
+        Ok(())
+    }
+}
+
+impl Disk for FillingDisk {
+    fn lock(&mut self) -> io::Result<bool> {
+        self.inner.lock()
+    }
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        self.inner.list()
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        self.inner.read(name)
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        self.check()?;
+        self.inner.create(name)
+    }
+
+    fn append(&mut self, name: &str, data: &[u8]) -> io::Result<()> {
+        if self.is_full.load(Ordering::Acquire) {
+            // A full disk takes a part of the data.
+            self.inner.append(name, &data[..data.len() / 2])?;
+        }
+        self.check()?;
+        self.inner.append(name, data)
+    }
+
+    fn truncate(&mut self, name: &str, bytes: u64) -> io::Result<()> {
+        self.inner.truncate(name, bytes)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.inner.sync(name)
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.inner.rename(from, to)
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.inner.remove(name)
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.inner.sync_folder()
+    }
+
+    fn path_of(&self, name: &str) -> String {
+        self.inner.path_of(name)
+    }
+}
+
+/// Guards against an acknowledgement by a replica that cannot write, against a replica that goes on
+/// when there is space again although it may lack a write, and against the loss of a change.
+#[test]
+fn a_full_disk_stops_the_replica_until_its_restart() {
+    let mut group = Group::prepare("full-disk", 3);
+    let is_full: Vec<Arc<AtomicBool>> = (0..3).map(|_| Arc::default()).collect();
+    for (index, is_full) in is_full.iter().enumerate() {
+        let disk = FillingDisk {
+            inner: FolderDisk::new(&group.settings[index].data_folder).unwrap(),
+            is_full: is_full.clone(),
+        };
+        let instance = ControlInstance::start_on_disk(&group.settings[index], Box::new(disk));
+        group.instances[index] = Some(instance.unwrap());
+    }
+    let version = group.set_zone("before", "a");
+    let full = group.wait_for_leader();
+    is_full[full].store(true, Ordering::Release);
+
+    // The change is sent to the full leader; its outcome there is unknown.
+    let change = set_zone("during", "b", version);
+    let refused = group.instance(full).handle().change(change.clone()).unwrap_err();
+    // Anything but a refusal for an invalid change; a leader may have been replaced at this moment.
+    assert!(
+        matches!(refused, OperatorCallError::OutcomeUnknown | OperatorCallError::NotLeader { .. }),
+        "{refused:?}"
+    );
+    let status = wait_for("the failure in the status", || {
+        let status = group.instance(full).handle().status();
+        status.failure.is_some().then_some(status)
+    });
+    assert!(status.failure.unwrap().contains("free space"));
+    assert!(!group.instance(full).health().is_ready());
+    let mut entry = LightEntry::in_group(1, &group);
+    let renewal = entry.renewal();
+    let reply = entry.call(full, renewal, Duration::from_secs(5)).unwrap();
+    assert!(matches!(reply, ControlReply::Unavailable { .. }), "{reply:?}");
+
+    // Space again: still refused, because the folder may lack a write.
+    is_full[full].store(false, Ordering::Release);
+    let handle = group.instance(full).handle();
+    assert!(matches!(handle.configuration(), Err(OperatorCallError::Unavailable { .. })));
+
+    // The others go on, and the resent change has one outcome.
+    group.change(&change);
+    entry.renew();
+    group.abort(full);
+    group.start_one(full);
+    wait_for("the restarted replica to catch up", || {
+        let status = group.instance(full).handle().status();
+        (status.failure.is_none() && status.version == ConfigurationVersion(version.0 + 1))
+            .then_some(())
+    });
+}
--- a/crates/mulberry-control/tests/group.rs
+++ b/crates/mulberry-control/tests/group.rs
@@ -1,24 +1,31 @@
-//! A group of three instances in one process: changes, leases and the loss of a leader.
+//! A group of three instances in one process: changes, restarts, lost leaders and lost disks.
 
 mod support;
 
-use mulberry_types::{ChangeOutcome, ConfigurationVersion, RejectReason};
-use support::{Group, LightEntry, set_zone};
+use std::time::Duration;
+
+use mulberry_consensus::{MemberChangeError, Role};
+use mulberry_control::{MembersChange, OperatorCallError};
+use mulberry_operators::{
+    MemberChange, OperatorBackend, OperatorClient, OperatorError, ReplicaId, ReplicaRole,
+};
+use mulberry_types::{
+    ChangeOutcome, ClaimKey, ClaimReply, ConfigurationVersion, ControlReply, ControlRequest,
+    Incarnation, NodeId, RejectReason, RequestId, StoredAnswer,
+};
+use support::{Group, LightEntry, set_zone, wait_for};
 
 /// Guards against a change that is acknowledged but not read back, and against two winners of a race.
 #[test]
-fn of_two_changes_with_equal_versions_one_wins() {
+fn of_changes_with_equal_versions_one_wins() {
     let group = Group::start("race", 3);
     let leader = group.wait_for_leader();
     let handle = group.instance(leader).handle();
     let outcomes: Vec<_> = std::thread::scope(|scope| {
         let threads: Vec<_> = (0..8)
             .map(|number| {
-                let change = set_zone(
-                    &format!("c{number}"),
-                    &format!("zone-{number}"),
-                    ConfigurationVersion(0),
-                );
+                let id = format!("c{number}");
+                let change = set_zone(&id, &format!("zone-{number}"), ConfigurationVersion(0));
                 scope.spawn(move || handle.change(change).unwrap())
             })
             .collect();
@@ -33,20 +40,261 @@
     let (version, configuration) = handle.configuration().unwrap();
     assert_eq!(version, ConfigurationVersion(1));
     assert_eq!(configuration.zones.len(), 1);
+    let page = handle.audit(ConfigurationVersion(0), ConfigurationVersion(9), 10).unwrap();
+    assert_eq!(page.records.len(), 1);
+    assert_eq!(&*page.records[0].operator, "tester");
+}
+
+/// Guards against a follower that accepts changes or serves old reads.
+#[test]
+fn followers_name_the_leader() {
+    let group = Group::start("followers", 3);
+    let leader = group.wait_for_leader();
+    let leader_id = group.member_id(leader);
+    let follower = (leader + 1) % 3;
+    wait_for("the follower to know the leader", || {
+        let status = group.instance(follower).handle().status();
+        (status.leader == Some(leader_id)).then_some(())
+    });
+    let handle = group.instance(follower).handle();
+    let refused = OperatorCallError::NotLeader { leader: Some(leader_id) };
+    assert_eq!(handle.change(set_zone("c", "a", ConfigurationVersion(0))), Err(refused.clone()));
+    assert_eq!(handle.configuration().unwrap_err(), refused);
+    let status = OperatorBackend::status(handle).unwrap();
+    assert_eq!(status.leader_operator_address, Some(group.settings[leader].operator_address));
+    let mut entry = LightEntry::in_group(1, &group);
+    let renewal = entry.renewal();
+    let reply = entry.call(follower, renewal, Duration::from_secs(5)).unwrap();
+    let address = group.settings[leader].peer_address;
+    assert_eq!(reply, ControlReply::Redirect { leader: Some(address) });
+}
+
+/// Guards against the loss of an accepted change with its leader, and against a second outcome for a
+/// change id that is sent again to the next leader.
+#[test]
+fn a_lost_leader_loses_no_change_and_no_outcome() {
+    let mut group = Group::start("lost-leader", 3);
+    let first = set_zone("first", "a", ConfigurationVersion(0));
+    let accepted = ChangeOutcome::Accepted { version: ConfigurationVersion(1) };
+    assert_eq!(group.change(&first), accepted);
+    let loser = set_zone("loser", "b", ConfigurationVersion(0));
+    let conflict = group.change(&loser);
+    assert!(matches!(conflict, ChangeOutcome::Rejected { .. }));
+
+    let old_leader = group.wait_for_leader();
+    group.abort(old_leader);
+    let next = set_zone("next", "c", ConfigurationVersion(1));
+    assert_eq!(group.change(&next), ChangeOutcome::Accepted { version: ConfigurationVersion(2) });
+    assert_eq!(group.change(&first), accepted);
+    assert_eq!(group.change(&loser), conflict);
+    let leader = group.wait_for_leader();
+    let (_, configuration) = group.instance(leader).handle().configuration().unwrap();
+    let zones: Vec<&str> = configuration.zones.keys().map(|zone| &**zone).collect();
+    assert_eq!(zones, ["a", "c"]);
+
+    // The former leader comes back with its folder and catches up.
+    group.start_one(old_leader);
+    wait_for("the former leader to catch up", || {
+        let status = group.instance(old_leader).handle().status();
+        (status.version == ConfigurationVersion(2)).then_some(())
+    });
+}
+
+/// Guards against a call that runs twice because its claim is won a second time under a new leader.
+#[test]
+fn a_claim_is_won_once_over_a_lost_leader() {
+    let mut group = Group::start("claims", 3);
+    let mut entry = LightEntry::in_group(1, &group);
+    entry.renew();
+    let request =
+        |counter| RequestId { node: NodeId(1), incarnation: entry.member.incarnation, counter };
+    let key =
+        ClaimKey { workspace: "w".into(), service: "s".into(), key: "idempotency-key".into() };
+    let claim = |counter| ControlRequest::Claim {
+        key: key.clone(),
+        fingerprint: [7; 32],
+        request: request(counter),
+    };
+    assert_eq!(entry.request(&claim(1)), ControlReply::Claim(ClaimReply::Won));
+    group.abort(group.wait_for_leader());
+    assert_eq!(entry.request(&claim(1)), ControlReply::Claim(ClaimReply::Won));
+    assert_eq!(entry.request(&claim(2)), ControlReply::Claim(ClaimReply::Running));
+    let answer = StoredAnswer { status: 200, headers: Vec::new(), body: Some(b"done".to_vec()) };
+    let finish = ControlRequest::FinishClaim {
+        key: key.clone(),
+        request: request(1),
+        answer: answer.clone(),
+    };
+    assert_eq!(entry.request(&finish), ControlReply::Done);
+    assert_eq!(entry.request(&claim(3)), ControlReply::Claim(ClaimReply::Finished(answer)));
+}
+
+/// Guards against a log or snapshot that does not bring back the whole state, and against a group that
+/// comes up only in a certain order.
+#[test]
+fn the_whole_group_restarts_from_a_snapshot_in_any_order() {
+    const CHANGES: u64 = 400;
+    let mut group = Group::prepare("restart", 3);
+    for settings in &mut group.settings {
+        settings.snapshot_entries = 100;
+    }
+    (0..3).for_each(|index| group.start_one(index));
+    let leader = group.wait_for_leader();
+    for number in 0..CHANGES {
+        let change = set_zone(
+            &format!("c{number}"),
+            &format!("zone-{number}"),
+            ConfigurationVersion(number),
+        );
+        group.change(&change);
+    }
+    let status = group.instance(leader).handle().status();
+    assert!(status.snapshot_index > 0 || group.wait_for_leader() != leader);
+
+    for order in [[2, 0, 1], [1, 2, 0]] {
+        (0..3).for_each(|index| group.abort(index));
+        for index in order {
+            group.start_one(index);
+        }
+        let leader = group.wait_for_leader();
+        let handle = group.instance(leader).handle();
+        let (version, configuration) = handle.configuration().unwrap();
+        assert_eq!(version, ConfigurationVersion(CHANGES));
+        assert_eq!(configuration.zones.len() as u64, CHANGES);
+        let page = handle.audit(ConfigurationVersion(1), version, 1_000).unwrap();
+        assert_eq!(page.records.len() as u64, CHANGES);
+        // The outcomes of old change ids are part of the snapshot.
+        let first = set_zone("c0", "zone-0", ConfigurationVersion(0));
+        let accepted = ChangeOutcome::Accepted { version: ConfigurationVersion(1) };
+        assert_eq!(group.change(&first), accepted);
+    }
+}
+
+/// Guards against an instance that votes under the identity of a lost disk, and against the loss of
+/// changes when a second instance is lost right after the repair.
+#[test]
+fn a_wiped_disk_returns_as_a_learner_and_carries_the_group() {
+    let mut group = Group::prepare("wiped", 3);
+    for settings in &mut group.settings {
+        // So that the new member must be sent a snapshot.
+        settings.snapshot_entries = 100;
+    }
+    (0..3).for_each(|index| group.start_one(index));
+    group.wait_for_leader();
+    for number in 0..250 {
+        group.set_zone("before", &format!("zone-{number}"));
+    }
+    let wiped = group.wait_for_leader();
+    let old_id = group.member_id(wiped);
+    group.abort(wiped);
+    group.wipe(wiped);
+    group.start_one(wiped);
+    let new_id = group.member_id(wiped);
+    assert_ne!(new_id, old_id);
+
+    let repair = |change| {
+        wait_for("a change of the members", || {
+            let leader = group.wait_for_leader();
+            assert_ne!(leader, wiped);
+            match group.instance(leader).handle().change_members(change) {
+                Ok(()) => Some(()),
+                // The remedy of each of these errors is to retry; an unknown outcome may have been
+                // committed, and the retry then changes nothing.
+                Err(OperatorCallError::Members(MemberChangeError::Unchanged)) => Some(()),
+                Err(_) => None,
+            }
+        });
+    };
+    assert!(!group.instance(wiped).handle().status().members.contains(new_id));
+    repair(MembersChange::AddLearner(new_id));
+    repair(MembersChange::Promote(new_id));
+    repair(MembersChange::Remove(old_id));
+    let version = group.set_zone("repaired", "last");
+
+    // A second instance is lost: the new member is needed for every majority.
+    let second = (0..3).find(|index| *index != wiped).unwrap();
+    group.abort(second);
+    let leader = group.wait_for_leader();
+    let (read, configuration) = group.instance(leader).handle().configuration().unwrap();
+    assert_eq!(read, version);
+    assert_eq!(configuration.zones.len(), 251);
+    group.set_zone("after", "after-second-loss");
+    let members = group.instance(leader).handle().status().members;
+    assert!(members.is_voter(new_id) && !members.contains(old_id));
+}
+
+/// Guards against a stop by plan that leaves the group without a leader for an election timeout.
+#[test]
+fn a_planned_stop_hands_leadership_over() {
+    let mut group = Group::start("stop", 3);
+    let version = group.set_zone("c", "a");
+    let leader = group.wait_for_leader();
+    let term = group.instance(leader).handle().status().term;
+    let health = group.instance(leader).health().clone();
+    group.instances[leader].take().unwrap().stop();
+    assert!(!health.is_ready());
+    let next = group.wait_for_leader();
+    let handle = group.instance(next).handle();
+    assert_eq!(handle.configuration().unwrap().0, version);
+    assert!(handle.status().term > term);
+    assert_eq!(handle.status().role, Role::Leader);
+}
+
+/// Guards against answers that are taken from the state of another life of an entry.
+#[test]
+fn a_left_life_is_expelled_and_a_new_one_joins() {
+    let group = Group::start("leave", 3);
+    let mut entry = LightEntry::in_group(1, &group);
+    let epoch = entry.renew().epoch;
+    let leave =
+        ControlRequest::Leave { node: entry.member.node, incarnation: entry.member.incarnation };
+    assert_eq!(entry.request(&leave), ControlReply::Done);
+    let renewal = entry.renewal();
+    assert_eq!(entry.request(&renewal), ControlReply::Expelled);
+    let mut next_life = LightEntry::in_group(1, &group);
+    next_life.member.incarnation = Incarnation(9);
+    assert!(next_life.renew().epoch > epoch);
 }
 
-/// Guards against a lease without a join, and against a grant that lacks the configuration.
+/// Guards against an operator API that is not connected to the replica, or not protected.
 #[test]
-fn an_entry_joins_with_its_first_renewal() {
-    let group = Group::start("join", 3);
-    let version = group.set_zone("c", "zone-a");
+fn operators_reach_the_group_over_http() {
+    let mut group = Group::start("operators", 3);
+    let client = group.operator_client();
+    let change = set_zone("c", "a", ConfigurationVersion(0));
+    let accepted = ChangeOutcome::Accepted { version: ConfigurationVersion(1) };
+    assert_eq!(client.submit_change(&change).unwrap(), accepted);
+    let answer = client.configuration().unwrap();
+    assert_eq!(answer.version, ConfigurationVersion(1));
+    let records = client.audit(ConfigurationVersion(0), 10).unwrap().records;
+    assert_eq!(records.len(), 1);
+    assert_eq!((records[0].from_version.0, records[0].to_version.0), (0, 1));
+    assert!(client.audit(ConfigurationVersion(1), 10).unwrap().records.is_empty());
+
     let mut entry = LightEntry::in_group(1, &group);
-    let grant = entry.renew();
-    assert_eq!(grant.version, version);
-    assert!(grant.update.is_some());
-    let membership = grant.membership.unwrap();
-    assert_eq!(membership.epoch, grant.epoch);
-    assert_eq!(membership.members, vec![entry.member.clone()]);
-    let grant = entry.renew();
-    assert_eq!((grant.update, grant.membership), (None, None));
+    entry.renew();
+    let status = wait_for("the leader's status", || {
+        let status = client.status().ok()?;
+        (status.leader == Some(status.replica) && status.entries.len() == 1).then_some(status)
+    });
+    assert_eq!(status.replicas.len(), 3);
+    assert_eq!(status.entries[0].node, entry.member.node);
+
+    let next = status.replicas.iter().find(|replica| replica.role == ReplicaRole::Voter).unwrap();
+    client.transfer(Some(next.replica)).unwrap();
+    wait_for("the transfer", || (client.status().ok()?.leader == Some(next.replica)).then_some(()));
+    let unknown = MemberChange::AddLearner {
+        replica: ReplicaId(12_345),
+        address: group.settings[0].peer_address,
+    };
+    let rejected = wait_for("a rejection", || match client.change_members(&unknown) {
+        Err(OperatorError::Rejected { problem }) => Some(problem),
+        _ => None,
+    });
+    assert!(rejected.contains("has not introduced itself"), "{rejected}");
+
+    let addresses = vec![group.settings[0].operator_address];
+    let stranger = OperatorClient::new(addresses, "another-token").unwrap();
+    assert_eq!(stranger.configuration().unwrap_err(), OperatorError::Unauthorized);
+    group.instances.clear();
 }
--- /dev/null
+++ b/crates/mulberry-control/tests/peer_directory.rs
@@ -0,0 +1,81 @@
+//! Which instances may form a first group.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use mulberry_consensus::MemberId;
+use mulberry_control::PeerDirectory;
+use mulberry_types::ReplicaHello;
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+fn directory() -> PeerDirectory {
+    let peers = [address(1), address(2), address(3)];
+    PeerDirectory::new(MemberId(11), address(1), address(101), &peers)
+}
+
+fn hello(member: u64, port: u16, has_group: bool, known: &[u64]) -> ReplicaHello {
+    ReplicaHello {
+        member,
+        address: address(port),
+        operator_address: address(port + 100),
+        has_group,
+        known_members: known.to_vec(),
+    }
+}
+
+/// Guards against groups with different first members, which would both count as the first group.
+#[test]
+fn a_first_group_needs_the_same_ids_from_all() {
+    let mut directory = directory();
+    assert_eq!(directory.first_group(), None);
+    directory.record(hello(12, 2, false, &[11, 12, 13]));
+    assert_eq!(directory.first_group(), None);
+    // The third instance does not know the second one yet.
+    directory.record(hello(13, 3, false, &[11, 13]));
+    assert_eq!(directory.first_group(), None);
+    directory.record(hello(13, 3, false, &[11, 12, 13]));
+    let members = directory.first_group().unwrap();
+    assert_eq!(members.voters, [MemberId(11), MemberId(12), MemberId(13)]);
+}
+
+/// Guards against an instance that has lost its disk and forms a group of its own, or joins the old one
+/// without being added.
+#[test]
+fn an_instance_with_a_lost_disk_forms_no_group() {
+    let mut directory = directory();
+    // The others have formed a group with this instance's former id, 10.
+    directory.record(hello(12, 2, true, &[10, 12, 13]));
+    directory.record(hello(13, 3, true, &[10, 12, 13]));
+    assert_eq!(directory.first_group(), None);
+    // Even when another one has lost its disk as well.
+    directory.record(hello(14, 3, false, &[11, 12, 14]));
+    assert_eq!(directory.first_group(), None);
+}
+
+/// Guards against a start of the first group that gets stuck when one instance has formed it and the
+/// others have not.
+#[test]
+fn a_group_that_one_instance_has_formed_is_joined_by_the_others() {
+    let mut directory = directory();
+    directory.record(hello(12, 2, true, &[11, 12, 13]));
+    let members = directory.first_group().unwrap();
+    assert_eq!(members.voters, [MemberId(11), MemberId(12), MemberId(13)]);
+}
+
+/// Guards against messages to the former identity of an instance, and against a foreign address.
+#[test]
+fn a_new_identity_replaces_the_former_one_at_its_address() {
+    let mut directory = directory();
+    assert_eq!(directory.record(hello(12, 2, true, &[])), Some(true));
+    assert_eq!(directory.record(hello(12, 2, true, &[])), Some(false));
+    assert_eq!(directory.address_of(MemberId(12)), Some(address(2)));
+    assert_eq!(directory.operator_address_of(MemberId(12)), Some(address(102)));
+    assert_eq!(directory.record(hello(99, 2, false, &[])), Some(true));
+    assert_eq!(directory.address_of(MemberId(12)), None);
+    assert_eq!(directory.address_of(MemberId(99)), Some(address(2)));
+    assert_eq!(directory.record(hello(55, 9, false, &[])), None);
+    // A copy of this instance's own folder.
+    assert_eq!(directory.record(hello(11, 2, false, &[])), None);
+}
--- a/crates/mulberry-control/tests/support/mod.rs
+++ b/crates/mulberry-control/tests/support/mod.rs
@@ -10,7 +10,8 @@
 use std::time::{Duration, Instant};
 
 use mulberry_consensus::{MemberId, Role};
-use mulberry_control::{ControlInstance, ControlSettings};
+use mulberry_control::{ControlInstance, ControlSettings, StartError};
+use mulberry_operators::{OperatorClient, OperatorToken};
 use mulberry_peers::{PeerClient, PeerClientSettings, PeerError, PeerSecret};
 use mulberry_types::{
     Change, ChangeId, ChangeOperation, ConfigurationVersion, ControlPortReply, ControlPortRequest,
@@ -23,6 +24,10 @@
 
 pub const SECRET: &str = "a shared secret for tests, 32 bytes or more";
 
+pub const OPERATOR: &str = "tester";
+pub const TOKEN: &str = "operator-token";
+const TOKEN_SHA256: &str = "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e";
+
 /// Temporary directory that is removed at the end of the test.
 #[derive(Debug)]
 pub struct TestFolder {
@@ -95,6 +100,10 @@
                 test_faults_address: free_address(),
                 peers: peers.clone(),
                 bootstrap: true,
+                operators: vec![OperatorToken {
+                    operator: OPERATOR.into(),
+                    token_sha256: TOKEN_SHA256.to_owned(),
+                }],
                 data_folder: folder.path.join(format!("data-{index}")),
                 secret_file: secret_file.clone(),
                 ..ControlSettings::default()
@@ -105,7 +114,20 @@
 
     pub fn start_one(&mut self, index: usize) {
         assert!(self.instances[index].is_none());
-        self.instances[index] = Some(ControlInstance::start(&self.settings[index]).unwrap());
+        // The HTTP servers of an instance that was just ended close their listeners in the background.
+        let instance = wait_for("the addresses of an instance", || {
+            match ControlInstance::start(&self.settings[index]) {
+                Err(StartError::Listen { .. }) => None,
+                result => Some(result.unwrap()),
+            }
+        });
+        self.instances[index] = Some(instance);
+    }
+
+    /// Client of the operator API of all instances.
+    pub fn operator_client(&self) -> OperatorClient {
+        let addresses = self.settings.iter().map(|settings| settings.operator_address).collect();
+        OperatorClient::new(addresses, TOKEN).unwrap()
     }
 
     /// Ends an instance abruptly.
@@ -167,7 +189,7 @@
 pub fn set_zone(id: &str, zone: &str, expected_version: ConfigurationVersion) -> Change {
     Change {
         id: ChangeId(id.into()),
-        operator: "tester".into(),
+        operator: OPERATOR.into(),
         expected_version,
         operations: vec![ChangeOperation::SetZone { zone: zone.into(), state: ZoneState::Out }],
     }
