--- a/crates/mulberry-entry/src/metrics.rs
+++ b/crates/mulberry-entry/src/metrics.rs
@@ -48,6 +48,10 @@
 
     pub reservations: Gauge,
     pub home_targets: Gauge,
+
+    /// Targets of all homes that take new work, as this entry sees them.
+    pub ready_targets: Gauge,
+
     pub configuration_version: Gauge,
     pub membership_epoch: Gauge,
     pub lease_remaining_ms: Gauge<i64, AtomicI64>,
@@ -69,6 +73,7 @@
             expired_reservations: Gauge::default(),
             reservations: Gauge::default(),
             home_targets: Gauge::default(),
+            ready_targets: Gauge::default(),
             configuration_version: Gauge::default(),
             membership_epoch: Gauge::default(),
             lease_remaining_ms: Gauge::default(),
@@ -130,6 +135,11 @@
             "Targets that this entry is the home of",
             self.home_targets.clone(),
         );
+        registry.register(
+            "mulberry_ready_targets",
+            "Targets of all homes that take new work",
+            self.ready_targets.clone(),
+        );
         registry.register(
             "mulberry_configuration_version",
             "Configuration version in force",
--- a/crates/mulberry-entry/src/timers.rs
+++ b/crates/mulberry-entry/src/timers.rs
@@ -88,6 +88,9 @@
     let configuration = entry.configuration.current().configuration.clone();
     let cap = entry.fleet.prune(now_ms, &configuration);
     entry.retries().prune(now_ms);
+    let view = entry.fleet.view();
+    let ready = view.fresh_targets(now_ms).filter(|(_, target)| target.takes_work).count();
+    entry.metrics.ready_targets.set(ready as i64);
     let mut ledger = entry.ledger();
     ledger.long_prefill_cap_changed(cap);
     let counts = ledger.counts();
