mulberry-log: add the tests, mend recovery

Faults that the tests found in the first version, now mended:

- After a failed sync and a restart of the process only, open returned records from the page cache that no later sync would write.
Found by argument while the disk model was written: open now copies the current segment, which also replaces the truncation in place and its operation of the disk trait.

--- a/crates/mulberry-log/src/data_folder.rs
+++ b/crates/mulberry-log/src/data_folder.rs
@@ -357,5 +357,7 @@
 }
 
 fn parse_number(text: &str) -> Option<u64> {
-    (text.len() == 16).then(|| u64::from_str_radix(text, 16).ok()).flatten()
+    let number = u64::from_str_radix(text, 16).ok()?;
+    // Room for the next number.
+    (text.len() == 16 && number < u64::MAX).then_some(number)
 }
--- a/crates/mulberry-log/src/disk.rs
+++ b/crates/mulberry-log/src/disk.rs
@@ -44,12 +44,6 @@
     /// The disk is full or fails; a part of the data may have been written.
     fn append(&mut self, name: &str, data: &[u8]) -> io::Result<()>;
 
-    /// Cuts a file to `bytes`.
-    ///
-    /// # Errors
-    /// The file cannot be cut.
-    fn truncate(&mut self, name: &str, bytes: u64) -> io::Result<()>;
-
     /// Makes the contents of a file durable.
     ///
     /// # Errors
@@ -148,10 +142,6 @@
         self.current(name)?.write_all(data)
     }
 
-    fn truncate(&mut self, name: &str, bytes: u64) -> io::Result<()> {
-        self.current(name)?.set_len(bytes)
-    }
-
     fn sync(&mut self, name: &str) -> io::Result<()> {
         self.current(name)?.sync_data()
     }
--- a/crates/mulberry-log/src/recovery.rs
+++ b/crates/mulberry-log/src/recovery.rs
@@ -33,10 +33,11 @@
     /// Whether its first record is whole.
     is_started: bool,
 
-    /// Size of its valid part.
-    valid_bytes: usize,
+    /// Its valid part.
+    valid: Vec<u8>,
 
-    bytes: usize,
+    /// Size of the torn tail behind it.
+    torn_bytes: usize,
 }
 
 pub(crate) fn open(
@@ -143,7 +144,7 @@
     check_sequence(folder, &names.segments)?;
     let mut replay = Replay::default();
     replay.shape.next = 1;
-    let mut is_current_started = false;
+    let mut current = Vec::new();
     for (position, sequence) in names.segments.iter().enumerate() {
         let is_last = position + 1 == names.segments.len();
         let end = replay_segment(folder, &mut replay, *sequence, is_last)?;
@@ -157,22 +158,24 @@
             folder.remove(&name)?;
             break;
         }
-        is_current_started = true;
-        folder.segment_bytes = end.valid_bytes as u64;
-        if end.valid_bytes < end.bytes {
+        if end.torn_bytes > 0 {
             tracing::warn!(
                 event = "torn_tail_truncated",
                 file = folder.disk.path_of(&name),
-                offset = end.valid_bytes,
-                bytes = end.bytes - end.valid_bytes
+                offset = end.valid.len(),
+                bytes = end.torn_bytes
             );
-            let valid_bytes = end.valid_bytes as u64;
-            folder.attempt("truncate", &name, |disk| disk.truncate(&name, valid_bytes))?;
-            folder.attempt("sync", &name, |disk| disk.sync(&name))?;
         }
+        current = end.valid;
     }
     folder.shape = replay.shape;
-    if !is_current_started {
+    if let Some(segment) = folder.shape.segments.back() {
+        // After a failed sync, the page cache can hold records that the disk lacks and that no later
+        // sync writes. A copy makes durable what this open returns, without the torn tail.
+        let name = segment_name(segment.sequence);
+        folder.write_aside(&name, &current)?;
+        folder.segment_bytes = current.len() as u64;
+    } else {
         if let Some(snapshot) = snapshot {
             let name = segment_name(1);
             let problem = format!("all segments beside snapshot {} are missing", snapshot.index);
@@ -198,20 +201,21 @@
         let name = snapshot_name(folder.shape.base);
         return Err(damage(folder, &name, 0, "the snapshot that the log continues is missing"));
     }
-    if let Some(snapshot) = snapshot.filter(|snapshot| snapshot.index > folder.shape.base) {
-        let keep_after = folder.keeps_after(snapshot);
-        if !keep_after {
-            entries.clear();
-        }
-        folder.append(&[ItemRef::SnapshotInPlace { index: snapshot.index, keep_after }])?;
-    }
-    entries.retain(|entry| entry.index > snapshot_index);
+    // Segments are removed only after the record about the snapshot that covers them is synced. Without
+    // this check, damage to that record would drop all entries behind the snapshot.
+    let base = folder.shape.base;
+    entries.retain(|entry| entry.index > base);
     let first = entries.first().map_or(folder.shape.next, |entry| entry.index);
-    if first != snapshot_index + 1 {
-        let problem = format!("the log starts at {first} after snapshot {snapshot_index}");
+    if first != base + 1 {
+        let problem = format!("the log starts at {first} where {} is due", base + 1);
         let oldest = folder.shape.segments.front().map_or(1, |segment| segment.sequence);
         return Err(damage(folder, &segment_name(oldest), 0, &problem));
     }
+    if let Some(snapshot) = snapshot.filter(|snapshot| snapshot.index > base) {
+        let keep_after = folder.keeps_after(snapshot);
+        entries.retain(|entry| keep_after && entry.index > snapshot.index);
+        folder.append(&[ItemRef::SnapshotInPlace { index: snapshot.index, keep_after }])?;
+    }
     Ok(entries)
 }
 
@@ -230,7 +234,7 @@
     is_last: bool,
 ) -> Result<SegmentEnd, LogError> {
     let name = segment_name(sequence);
-    let data = read(folder, &name)?;
+    let mut data = read(folder, &name)?;
     let key = SegmentKey { member: folder.member, sequence };
     if let Some(prefix) = data.get(..PREFIX_BYTES).filter(|prefix| prefix[..4] == SEGMENT_MARK) {
         let found = u32::from_le_bytes([prefix[4], prefix[5], prefix[6], prefix[7]]);
@@ -246,7 +250,13 @@
         let found = if has_prefix {
             key.find(&data, offset)
         } else {
-            Found::Invalid { problem: "its start is no header of a segment", end: None }
+            // The first record is written together with the prefix, so it is no evidence of a sync.
+            let end = match key.find(&data, PREFIX_BYTES) {
+                Found::Record { end, .. } => Some(end),
+                Found::Invalid { end, .. } => end,
+                Found::End => None,
+            };
+            Found::Invalid { problem: "its start is no header of a segment", end }
         };
         match found {
             Found::Record { body, end } => {
@@ -265,7 +275,7 @@
                 return Err(damage(folder, &name, offset, problem));
             }
             Found::Invalid { problem, end } => {
-                if let Some(later) = key.find_later_record(&data, offset, end) {
+                if let Some(later) = key.find_later_record(&data, offset.max(PREFIX_BYTES), end) {
                     let problem =
                         format!("{problem}, and a later record follows at offset {later}");
                     return Err(damage(folder, &name, offset, &problem));
@@ -274,7 +284,9 @@
             }
         }
     }
-    Ok(SegmentEnd { is_started, valid_bytes: offset, bytes: data.len() })
+    let torn_bytes = data.len() - offset;
+    data.truncate(offset);
+    Ok(SegmentEnd { is_started, valid: data, torn_bytes })
 }
 
 impl Replay {
--- /dev/null
+++ b/crates/mulberry-log/tests/it/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the data folder.
+//!
+//! The seeds are fixed. `MULBERRY_CASES` raises the number of cases of each property.
+
+mod common;
+mod crashes;
+mod damage;
+mod fake_disk;
+mod folder;
