mulberry-state: check limits before they are set

Cause: a retention below 24 h would permit a second run of a call although callers are told 24 h, and a configuration above one frame could not be sent to the entries.

SetLimits now answers LimitsRejected with the field and the remedy and changes nothing. The property that compares a restored replica also sets other limits in the middle of the sequence.

--- a/crates/mulberry-state/src/fleet_state.rs
+++ b/crates/mulberry-state/src/fleet_state.rs
@@ -68,6 +68,9 @@
                 Reply::Permit(self.permits.take(now_ms, *bytes, &self.limits))
             }
             Command::SetLimits { limits, .. } => {
+                if let Err(problem) = limits.check() {
+                    return Reply::LimitsRejected { problem };
+                }
                 self.limits = limits.clone();
                 self.changes.enforce(&self.limits);
                 self.claims.enforce(&self.limits);
@@ -76,18 +79,22 @@
         }
     }
 
+    /// The accepted configuration; replaced as a whole by each change.
     pub fn configuration(&self) -> &Arc<Configuration> {
         &self.changes.configuration
     }
 
+    /// Version of the configuration; 0 before the first change.
     pub fn version(&self) -> ConfigurationVersion {
         self.changes.version
     }
 
+    /// The live entries, replaced as a whole when the set changes.
     pub fn membership(&self) -> &Arc<Membership> {
         &self.members.membership
     }
 
+    /// The bounds in force.
     pub fn limits(&self) -> &StateLimits {
         &self.limits
     }
@@ -119,6 +126,7 @@
         self.changes.audit_page(first, last, max_records)
     }
 
+    /// Sizes of the claim table, for metrics.
     pub fn claim_counts(&self) -> ClaimCounts {
         self.claims.counts()
     }
--- a/crates/mulberry-state/src/reply.rs
+++ b/crates/mulberry-state/src/reply.rs
@@ -37,6 +37,11 @@
 
     LimitsSet,
 
+    /// A limit is out of range; all limits stay as they were.
+    LimitsRejected {
+        problem: String,
+    },
+
     /// The index is not above the last one applied; nothing was changed.
     AlreadyApplied,
 }
--- a/crates/mulberry-state/src/state_limits.rs
+++ b/crates/mulberry-state/src/state_limits.rs
@@ -2,6 +2,13 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Retention that the caller API promises. It is also the longest deadline, so that no call outlives its
+/// claim.
+const MIN_CLAIM_RETENTION_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// Frames between processes are limited to 16 MiB; half is left for what goes with the configuration.
+const MAX_MESSAGE_BYTES: u64 = 8 << 20;
+
 /// Bounds of the replicated state.
 ///
 /// They decide the outcome of commands, so they must be equal on all replicas. They are therefore part
@@ -21,13 +28,13 @@
     /// Recent changes that are sent as a delta; an entry further behind gets the whole configuration.
     pub delta_changes: u64,
 
-    /// Encoded size of the operations in one delta; frames between processes are limited to 16 MiB.
+    /// Encoded size of the operations in one delta; it must fit into one message.
     pub delta_bytes: u64,
 
     /// Encoded size of the operations of one change.
     pub change_bytes: u64,
 
-    /// Encoded size of the whole configuration; it must fit into one frame of 16 MiB.
+    /// Encoded size of the whole configuration; it must fit into one message.
     pub configuration_bytes: u64,
 
     /// Live entries.
@@ -71,12 +78,12 @@
             delta_changes: 2_000,
             delta_bytes: 1 << 20,
             change_bytes: 1 << 20,
-            configuration_bytes: 8 << 20,
+            configuration_bytes: MAX_MESSAGE_BYTES,
             members: 4_096,
             open_claims: 20_000,
             claims: 200_000,
             claim_bytes: 256 << 20,
-            claim_retention_ms: 24 * 60 * 60 * 1_000,
+            claim_retention_ms: MIN_CLAIM_RETENTION_MS,
             tombstones: 200_000,
             tombstone_retention_ms: 60 * 60 * 1_000,
             refused_requests: 100_000,
@@ -85,3 +92,29 @@
         }
     }
 }
+
+impl StateLimits {
+    /// Checks the limits on which promises to callers or messages depend.
+    ///
+    /// # Errors
+    /// The name of the first field that is out of range, and the remedy.
+    pub fn check(&self) -> Result<(), String> {
+        if self.claim_retention_ms < MIN_CLAIM_RETENTION_MS {
+            return Err(format!(
+                "claim_retention_ms is {}; use at least {MIN_CLAIM_RETENTION_MS}, which callers are told",
+                self.claim_retention_ms
+            ));
+        }
+        let messages = [
+            ("change_bytes", self.change_bytes),
+            ("configuration_bytes", self.configuration_bytes),
+            ("delta_bytes", self.delta_bytes),
+        ];
+        match messages.iter().find(|(_, bytes)| *bytes > MAX_MESSAGE_BYTES) {
+            Some((name, bytes)) => Err(format!(
+                "{name} is {bytes}; use at most {MAX_MESSAGE_BYTES}, which fits into one message"
+            )),
+            None => Ok(()),
+        }
+    }
+}
--- a/crates/mulberry-state/tests/it/replicas.rs
+++ b/crates/mulberry-state/tests/it/replicas.rs
@@ -1,9 +1,9 @@
 //! Replicas that apply the same commands.
 
-use mulberry_state::{Command, FleetState, Reply, StateLimits};
+use mulberry_state::{ClaimRefusal, Command, FleetState, Reply, StateLimits};
 use proptest::prelude::*;
 
-use crate::common::{cases, commands, small_limits};
+use crate::common::{Driver, cases, commands, request, small_limits};
 
 /// A replica is restored from a snapshot at `cut`; each reply and the final bytes must stay equal.
 /// Guards against state that decides outcomes but is missing from the snapshot.
@@ -27,12 +27,35 @@
     Ok(())
 }
 
+/// Guards against a retention shorter than the promised one, and a message that no frame can hold.
+#[test]
+fn limits_out_of_range_are_rejected() {
+    let mut driver = Driver::default();
+    let day_ms = StateLimits::default().claim_retention_ms;
+    let wrong = [
+        StateLimits { claim_retention_ms: day_ms - 1, ..StateLimits::default() },
+        StateLimits { configuration_bytes: (8 << 20) + 1, ..StateLimits::default() },
+    ];
+    let replies = wrong.map(|limits| driver.apply(&Command::SetLimits { now_ms: 0, limits }));
+    assert_eq!(driver.state.limits(), &StateLimits::default());
+    insta::assert_debug_snapshot!(replies);
+    let limits = StateLimits { claims: 0, ..StateLimits::default() };
+    assert_eq!(driver.apply(&Command::SetLimits { now_ms: 0, limits }), Reply::LimitsSet);
+    driver.restore();
+    driver.join(1, 1);
+    let reply = driver.claim("a", request(1, 1, 1));
+    assert_eq!(reply, Reply::ClaimRefused(ClaimRefusal::StoredClaimsFull));
+}
+
 proptest! {
     #![proptest_config(cases(512))]
 
     #[test]
     fn restored_replica_stays_equal(commands in commands(), cut in any::<usize>()) {
         if !commands.is_empty() {
+            let mut commands = commands;
+            let limits = small_limits();
+            commands.insert(cut / 7 % commands.len(), Command::SetLimits { now_ms: 0, limits });
             check_restored_replica_stays_equal(&commands, cut, StateLimits::default())?;
             check_restored_replica_stays_equal(&commands, cut, small_limits())?;
         }
