Hold room until work has left the target, and limit when work may start

- A target that goes to another home and back let an entry start work on a grant from before, because node and incarnation of the home were the same again (case: a start 8.9 s after its grant).
Comparing epochs was ruled out: an entry can miss the epochs in between.
Now work starts only within 750 ms of the last answered message, and a new home waits these 750 ms and 750 ms of transit before it counts the target.
- An Extend with unknown ids was answered like any other, so the entry relied on a reservation that no home kept.
Unknown ids are now returned and are to be answered by Refused; the entry registers again with Reserve.
- A late announcement of an old boot id at a new home made it ignore the running target for good (case).
Replaced boot ids are now ignored for 5 s only.
- Room of expired reservations was given up by a list that was requested before work on its way could be in it.

--- a/crates/mulberry-policy/src/home_ledger.rs
+++ b/crates/mulberry-policy/src/home_ledger.rs
@@ -7,7 +7,8 @@
 //! - live reservations, with the prompt and the longest allowed answer;
 //! - room that has no live reservation any more but may still be in use: expired reservations, and
 //!   released ones whose work was cut off. It counts until a list requested from the target later
-//!   does not show it;
+//!   does not show it; released room that no list has shown before counts for 750 ms more, because
+//!   the work may still be on its way to the target;
 //! - items of the target's own list that belong to neither;
 //! - what the load report shows beyond all of these. The report lags, so room released within the
 //!   last two seconds is not taken for such a surplus.
@@ -17,13 +18,12 @@
 //! A new home knows nothing of what its predecessor granted. Three rules keep the sum within the
 //! memory:
 //!
-//! - An entry starts work only on a grant of the target's home by its own newest membership
-//!   ([`crate::ReservationHold::may_start`]). The new home acts in a settled epoch, so every member
-//!   has stopped using the predecessor's grants by then.
+//! - An entry starts work only within 750 ms of a message that the home has answered
+//!   ([`crate::ReservationHold::may_start`]), so a grant of the predecessor is not used after that.
 //! - The new home grants nothing until it has a list of the target that it requested at least
-//!   1,000 ms after it began. Work that was on its way is in that list.
-//! - An entry registers what it holds again: it sends `Extend` with its reservation ids and then
-//!   `Reserve` with the same request id. Ids are derived from request and target, so every home
+//!   1,500 ms after it began: those 750 ms, and 750 ms for work that was on its way.
+//! - An entry registers what it holds again. An `Extend` with ids that are not live here is answered
+//!   by a refusal, not by `Done`; the entry then sends `Reserve` with the same request ids. Ids are derived from request and target, so every home
 //!   computes the same id, recognises the `Reserve` as a registration, and exempts it from
 //!   everything but memory and slots. Until then an extended id keeps the listed work of its
 //!   request alive.
@@ -45,22 +45,23 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::long_prefill_cap::LONG_PROMPT_TOKENS;
+use crate::reservation_hold::{RESERVATION_MS, START_MS};
 use crate::{
     CircuitBreaker, CleanupOrder, ColdRamp, CostModel, InventoryItem, InventoryKind,
     LongPrefillCap, TargetInventory,
 };
 
-/// A reservation without an extension for this long is over.
-pub const RESERVATION_MS: u64 = 2_000;
-
 /// A target that is not heard for this long takes no work: two lost announcements are tolerated.
 const UNHEARD_MS: u64 = 3_000;
 
 /// A target that is not heard for this long is forgotten.
 const FORGET_TARGET_MS: u64 = 60_000;
 
-/// Longest time that work started under the previous home needs to reach the target's list.
-const TAKEOVER_WAIT_MS: u64 = 1_000;
+/// Longest time from an entry's decision to send work until the target's list shows it.
+const WORK_TRANSIT_MS: u64 = 750;
+
+/// Time after which a new home can count what its predecessor has admitted to a target.
+const TAKEOVER_WAIT_MS: u64 = START_MS + WORK_TRANSIT_MS;
 
 /// Grace time of listed items without a reservation: release and list may cross each other.
 const GRACE_MS: u64 = 1_000;
@@ -79,7 +80,12 @@
 /// it.
 const LEAVING_MS: u64 = 5_000;
 
-/// Boot ids that a target had before; announcements with one of them are late.
+/// Announcements with a boot id that was replaced less than this long ago are late and ignored. Later
+/// ones are believed, because the order of two boot ids is not known and the replacing announcement
+/// may have been the late one.
+const LATE_ANNOUNCEMENT_MS: u64 = 5_000;
+
+/// Replaced boot ids that are remembered; more restarts within that time need not be told apart.
 const MAX_OLD_BOOTS: usize = 8;
 
 /// Members that are gone are remembered for this long.
@@ -131,6 +137,9 @@
 
     /// Whether no other prompt was in prefill at the grant.
     alone: bool,
+
+    /// Whether a list of the target has shown its work.
+    listed: bool,
 }
 
 /// Room that may still be in use.
@@ -174,7 +183,10 @@
     counted: bool,
 
     left_heard_ms: Option<u64>,
-    old_boots: VecDeque<u64>,
+
+    /// Replaced boot ids with the time of the replacement.
+    old_boots: VecDeque<(u64, u64)>,
+
     ramp: ColdRamp,
     breaker: CircuitBreaker,
     cost: CostModel,
@@ -304,7 +316,7 @@
     /// The target takes no work, has no room, or is unknown.
     pub fn reserve(&mut self, now_ms: u64, reserve: &Reserve) -> Result<Reserved, Refused> {
         let Some(record) = self.targets.get_mut(&reserve.target) else {
-            return Err(refused(RefuseReason::TargetUnknown, TAKEOVER_WAIT_MS));
+            return Err(refused(RefuseReason::TargetUnknown, 1_000));
         };
         let id = reservation_id(reserve.request, &reserve.target);
         if let Some(reservation) = record.reservations.get_mut(&id) {
@@ -521,7 +533,8 @@
         announcement: Announcement,
         target_of: &mut HashMap<ReservationId, Arc<str>>,
     ) {
-        if self.old_boots.contains(&announcement.boot_id) {
+        self.old_boots.retain(|(_, replaced_ms)| now_ms < replaced_ms + LATE_ANNOUNCEMENT_MS);
+        if self.old_boots.iter().any(|(boot_id, _)| *boot_id == announcement.boot_id) {
             return;
         }
         let old_boot = self.announcement.boot_id;
@@ -529,7 +542,7 @@
             if self.old_boots.len() == MAX_OLD_BOOTS {
                 self.old_boots.pop_front();
             }
-            self.old_boots.push_back(old_boot);
+            self.old_boots.push_back((old_boot, now_ms));
             // Reservations stay until they are released or expire, because entries that have not
             // noticed the restart may still send work under them.
             for (id, _) in std::mem::take(&mut self.lingering) {
@@ -638,7 +651,9 @@
     }
 
     fn insert(&mut self, now_ms: u64, id: ReservationId, reserve: &Reserve) {
+        let unmatched = self.unmatched.len();
         self.unmatched.retain(|_, unmatched| unmatched.reservation != Some(id));
+        let was_listed = self.unmatched.len() < unmatched;
         self.lingering.remove(&id);
         let queued = self.queued_prompt_tokens(now_ms);
         let ahead = crate::fleet_view::tokens_ahead(&queued, reserve.priority);
@@ -654,6 +669,7 @@
             estimate_ms: CostModel::estimate_ms(stated, ahead, reserve.prompt_tokens),
             prefill_until_ms: now_ms + expected_ms,
             alone: queued.iter().all(|tokens| *tokens == 0),
+            listed: was_listed,
         };
         self.reservations.insert(id, reservation);
     }
@@ -797,12 +813,23 @@
         let id_of =
             |item: &InventoryItem| item.request.map(|request| reservation_id(request, &target));
         let listed: Vec<ReservationId> = inventory.items.iter().filter_map(id_of).collect();
+        for id in &listed {
+            let lingering = self.lingering.get_mut(id).map(|lingering| &mut lingering.reservation);
+            if let Some(reservation) = self.reservations.get_mut(id).or(lingering) {
+                reservation.listed = true;
+            }
+        }
         self.lingering.retain(|id, lingering| {
-            let keep = lingering.since_ms >= inventory.requested_ms || listed.contains(id);
-            if !keep {
+            // Work that was cut off before a list showed it may still be on its way. An expired
+            // reservation was last used long before.
+            let on_its_way = lingering.released && !lingering.reservation.listed;
+            let transit_ms = if on_its_way { WORK_TRANSIT_MS } else { 0 };
+            let is_absent =
+                inventory.requested_ms > lingering.since_ms + transit_ms && !listed.contains(id);
+            if is_absent {
                 target_of.remove(id);
             }
-            keep
+            !is_absent
         });
         let mut unmatched = BTreeMap::new();
         for item in &inventory.items {
--- a/crates/mulberry-policy/src/lib.rs
+++ b/crates/mulberry-policy/src/lib.rs
@@ -28,7 +28,7 @@
 pub use cost_model::CostModel;
 pub use fair_queue::{FairQueue, PlacementClass, QueueFull, QueuedRequest};
 pub use fleet_view::{Backlog, FleetView};
-pub use home_ledger::{HomeLedger, LedgerCounts, RESERVATION_MS, reservation_id};
+pub use home_ledger::{HomeLedger, LedgerCounts, reservation_id};
 pub use homes::Homes;
 pub use in_flight::{AddedLoad, AddedLoads, InFlight};
 pub use lease::{EntryLease, GrantEffect};
@@ -37,7 +37,7 @@
     Candidate, NoCandidateReason, Placement, PlacementPolicy, PlacementRequest, Ranking, Segment,
     SplitPlan, SplitRefused,
 };
-pub use reservation_hold::ReservationHold;
+pub use reservation_hold::{RESERVATION_MS, ReservationHold, START_MS};
 pub use retry_budget::{Backoff, RetryBudget, RetryKey};
 pub use retry_decision::{FailedAttempt, FailedOutcome, RetryDecision};
 pub use target_inventory::{CleanupOrder, InventoryItem, InventoryKind, TargetInventory};
--- a/crates/mulberry-policy/src/reservation_hold.rs
+++ b/crates/mulberry-policy/src/reservation_hold.rs
@@ -1,12 +1,17 @@
 //! The asking entry's side of a reservation.
 //!
-//! The home frees a reservation 2,000 ms after it received the last extension. The entry counts
-//! from the sending of the last extension that was answered, so it stops relying on the
-//! reservation first.
+//! All times count from the sending of the last `Reserve` or `Extend` that the home answered, less
+//! 1 % for the drift of the clock, so the entry stops relying on a reservation before its home does.
+//! Work is started only within the first 750 ms. This is what allows a new home to wait a fixed time
+//! before it counts what is on the target: a rule that compares memberships instead fails when a
+//! target goes to another home and back while the entry sees only the end of it.
 
-use mulberry_types::{Incarnation, Member, NodeId};
+/// A reservation without an extension for this long is over.
+pub const RESERVATION_MS: u64 = 2_000;
 
-use crate::home_ledger::RESERVATION_MS;
+/// Work may start this long after the sending of the last answered message. Extensions are sent every
+/// 500 ms, so a lost one delays only work that starts long after its reservation.
+pub const START_MS: u64 = 750;
 
 /// Share of the time that the entry gives up for the drift of its clock.
 const DRIFT_MARGIN_PERCENT: u64 = 1;
@@ -14,50 +19,44 @@
 /// A reservation as the entry that asked for it sees it.
 #[derive(Debug, Clone)]
 pub struct ReservationHold {
-    home: (NodeId, Incarnation),
-    live_until_ms: u64,
+    answered_ms: u64,
     lost: bool,
 }
 
 impl ReservationHold {
-    /// `sent_ms` is the time at which the `Reserve` was sent, `home` the entry that granted it.
+    /// The `Reserve` that was sent at `sent_ms` is granted.
     #[must_use]
-    pub fn new(home: &Member, sent_ms: u64) -> ReservationHold {
-        let live_until_ms = until_ms(sent_ms);
-        ReservationHold { home: (home.node, home.incarnation), live_until_ms, lost: false }
+    pub fn new(sent_ms: u64) -> ReservationHold {
+        ReservationHold { answered_ms: sent_ms, lost: false }
     }
 
-    /// An extension that was sent at `sent_ms` is answered.
+    /// An `Extend` that was sent at `sent_ms` is answered by `Done`.
     pub fn extended(&mut self, sent_ms: u64, now_ms: u64) {
-        self.lost |= now_ms >= self.live_until_ms;
-        self.live_until_ms = self.live_until_ms.max(until_ms(sent_ms));
+        self.lost = !self.is_live(now_ms);
+        self.answered_ms = self.answered_ms.max(sent_ms);
     }
 
-    /// A new home has taken the reservation over: the `Reserve` that was sent to it at `sent_ms`
-    /// with the same request id is answered.
-    pub fn registered_again(&mut self, home: &Member, sent_ms: u64) {
-        self.home = (home.node, home.incarnation);
-        self.live_until_ms = until_ms(sent_ms);
-        self.lost = false;
+    /// A `Reserve` with the same request id that was sent at `sent_ms` is granted. Send one when an
+    /// `Extend` is refused: the home does not know all of its reservations.
+    pub fn registered_again(&mut self, sent_ms: u64) {
+        *self = ReservationHold::new(self.answered_ms.max(sent_ms));
     }
 
     /// Whether the home still keeps the room. A lost reservation does not come back by an
     /// extension, because the home may have given the room to another request.
     #[must_use]
     pub fn is_live(&self, now_ms: u64) -> bool {
-        !self.lost && now_ms < self.live_until_ms
+        !self.lost && now_ms < self.answered_ms + less_drift(RESERVATION_MS)
     }
 
-    /// Whether work may be sent to the target now. `home` is the target's home by the newest
-    /// membership: a new home counts only what it finds on the target and what is registered with
-    /// it again, so a grant of the previous home must not be used any more.
+    /// Whether work may be sent to the target now. Ask after the connection is made and immediately
+    /// before the first byte is written.
     #[must_use]
-    pub fn may_start(&self, now_ms: u64, home: Option<&Member>) -> bool {
-        self.is_live(now_ms)
-            && home.is_some_and(|member| (member.node, member.incarnation) == self.home)
+    pub fn may_start(&self, now_ms: u64) -> bool {
+        self.is_live(now_ms) && now_ms < self.answered_ms + less_drift(START_MS)
     }
 }
 
-fn until_ms(sent_ms: u64) -> u64 {
-    sent_ms + RESERVATION_MS - RESERVATION_MS * DRIFT_MARGIN_PERCENT / 100
+fn less_drift(duration_ms: u64) -> u64 {
+    duration_ms - duration_ms * DRIFT_MARGIN_PERCENT / 100
 }
