Keep the long prefill cap while busy engines change places

Cause: the cap subtracted engines in long prefill outside of the first half from the places, but took the places from the end of the ranking, also from engines in long prefill. These then counted nowhere and more than half could be busy. Found by the property after 2 cases. Engines in long prefill now keep their places and only idle ones lose theirs.

The other properties of placement hold: candidates can take the request, a split covers the prompt exactly and fits, all entries compute the same cap.

--- a/crates/mulberry-policy/src/long_prefill_cap.rs
+++ b/crates/mulberry-policy/src/long_prefill_cap.rs
@@ -81,10 +81,16 @@
         let hash = xxh3_64_with_seed(engine.target.as_bytes(), seed);
         (std::cmp::Reverse(engine.memory_tokens), hash, Arc::clone(&engine.target))
     });
-    let busy_outside = engines.iter().skip(cap).filter(|engine| engine.long_prefill).count();
-    engines
-        .iter()
-        .take(cap.saturating_sub(busy_outside))
-        .map(|engine| Arc::clone(&engine.target))
-        .collect()
+    // Engines in long prefill keep their places, also those that are outside of the first half now.
+    let mut places = cap.saturating_sub(engines.iter().filter(|it| it.long_prefill).count());
+    let mut allowed = BTreeSet::new();
+    for engine in engines.iter().take(cap) {
+        if engine.long_prefill {
+            allowed.insert(Arc::clone(&engine.target));
+        } else if places > 0 {
+            places -= 1;
+            allowed.insert(Arc::clone(&engine.target));
+        }
+    }
+    allowed
 }
