Let a workspace overdraw its share in the fair queue

Cause: with the classic deficit round robin, a long prompt that can be placed only now and then waited 77.9 s beside short requests (case): rounds passed without credit for workspaces whose requests could not be placed, and short requests of the same workspace spend what a long one would have to save.

Ruled out: crediting blocked workspaces up to the cost of their longest request. It leaves the second part of the fault, and lets workspaces save up.

Now a positive balance allows one request of any cost, and the debt is paid back while others wait. Ties go to the workspace served longest ago; a ring behind the last served one always preferred the same neighbour (119.98 s for two workspaces, case).

--- a/crates/mulberry-policy/src/fair_queue.rs
+++ b/crates/mulberry-policy/src/fair_queue.rs
@@ -4,9 +4,14 @@
 //! workspaces by weight. A request gains one priority step for every 10 s that it has waited, up to
 //! the highest priority, where it takes part in the same round robin.
 //!
-//! The rounds are not run one by one: the queue computes for each workspace how many rounds its
-//! next request still needs, takes the one with the fewest, and credits these rounds to all. So a
-//! request of a million tokens costs no more to choose than a short one.
+//! A workspace with a positive balance may send one request of any cost and pays it back with later
+//! rounds. In the classic form it saves up first; then a long prompt for which there is room only now
+//! and then finds the balance spent by short ones of its own workspace each time. Debts stay while
+//! other requests wait, so sending one long prompt after the other gains nothing.
+//!
+//! The rounds are not run one by one: the queue computes for each workspace how many rounds it still
+//! needs, takes the one with the fewest, and credits these rounds to all. So debts of a million
+//! tokens cost no more time than small ones.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -14,7 +19,7 @@
 use mulberry_types::{LengthClass, Priority, RequestId};
 
 /// Tokens that a workspace of weight 1 earns per round. Only the ratio to other costs matters.
-const QUANTUM_TOKENS: u64 = 100;
+const QUANTUM_TOKENS: i64 = 100;
 
 /// Waiting time for one priority step.
 const PRIORITY_STEP_MS: u64 = 10_000;
@@ -58,8 +63,13 @@
 
 #[derive(Debug, Default)]
 struct WorkspaceQueue {
-    weight: u64,
-    deficit_tokens: u64,
+    weight: i64,
+
+    /// Tokens earned and not spent; negative after a request that cost more.
+    balance_tokens: i64,
+
+    /// Turn at which it was served last, or at which it came.
+    last_turn: u64,
 
     /// In order of arrival, by priority from low to high.
     by_priority: [VecDeque<QueuedRequest>; 3],
@@ -72,8 +82,8 @@
     len: usize,
     workspaces: BTreeMap<Arc<str>, WorkspaceQueue>,
 
-    /// Workspace that was served last; the round continues behind it.
-    last_served: Option<Arc<str>>,
+    /// Requests that left the queue for a target.
+    turns: u64,
 
     /// Mean time between two requests that leave the queue.
     mean_gap_ms: f64,
@@ -88,7 +98,7 @@
             max_requests,
             len: 0,
             workspaces: BTreeMap::new(),
-            last_served: None,
+            turns: 0,
             mean_gap_ms: 100.0,
             last_popped_ms: None,
         }
@@ -104,8 +114,12 @@
             return Err(QueueFull { retry_after_ms: (drain_ms as u64).clamp(100, 60_000) });
         }
         self.len += 1;
-        let workspace = self.workspaces.entry(Arc::clone(&request.workspace)).or_default();
-        workspace.weight = u64::from(request.weight.max(1));
+        let turns = self.turns;
+        let workspace = self
+            .workspaces
+            .entry(Arc::clone(&request.workspace))
+            .or_insert_with(|| WorkspaceQueue { last_turn: turns, ..WorkspaceQueue::default() });
+        workspace.weight = i64::from(request.weight.max(1));
         workspace.by_priority[request.priority as usize].push_back(request);
         Ok(())
     }
@@ -127,29 +141,26 @@
             can
         };
         for level in (0..LEVELS).rev() {
-            // Workspaces in ring order behind the last served one.
-            let mut turns = Vec::new();
+            // Equal rounds: the one that was served longest ago. A fixed order around the last served
+            // one would prefer the same neighbour each time that a long prompt finds room.
+            let mut next: Option<(i64, u64, &Arc<str>, usize, usize)> = None;
             for (name, workspace) in &self.workspaces {
-                if let Some((queue, index)) = workspace.first_at(level, now_ms, &mut can_place) {
-                    let cost = workspace.by_priority[queue][index].cost_tokens;
-                    let behind = self.last_served.as_ref().is_some_and(|last| name <= last);
-                    turns.push((workspace.rounds_for(cost), behind, name, queue, index));
+                let Some((queue, index)) = workspace.first_at(level, now_ms, &mut can_place) else {
+                    continue;
+                };
+                let turn = (workspace.rounds_needed(), workspace.last_turn, name, queue, index);
+                if next.is_none_or(|next| turn < next) {
+                    next = Some(turn);
                 }
             }
-            let Some(&(rounds, _, name, queue, index)) =
-                turns.iter().min_by_key(|(rounds, behind, name, _, _)| (*rounds, *behind, *name))
-            else {
+            let Some((rounds, _, name, queue, index)) = next else {
                 continue;
             };
-            let chosen = Arc::clone(name);
-            let names: Vec<Arc<str>> =
-                turns.iter().map(|(_, _, name, _, _)| Arc::clone(name)).collect();
-            for name in names {
-                if let Some(workspace) = self.workspaces.get_mut(&name) {
-                    workspace.deficit_tokens += rounds * QUANTUM_TOKENS * workspace.weight;
-                }
+            let name = Arc::clone(name);
+            for workspace in self.workspaces.values_mut() {
+                workspace.earn(rounds);
             }
-            return self.take(now_ms, &chosen, queue, index);
+            return self.take(now_ms, &name, queue, index);
         }
         None
     }
@@ -223,8 +234,10 @@
     ) -> Option<QueuedRequest> {
         let workspace = self.workspaces.get_mut(name)?;
         let queued = workspace.by_priority[queue].remove(index)?;
-        workspace.deficit_tokens = workspace.deficit_tokens.saturating_sub(queued.cost_tokens);
-        self.last_served = Some(Arc::clone(name));
+        let cost_tokens = i64::try_from(queued.cost_tokens).unwrap_or(i64::MAX);
+        workspace.balance_tokens = workspace.balance_tokens.saturating_sub(cost_tokens);
+        self.turns += 1;
+        workspace.last_turn = self.turns;
         self.len -= 1;
         self.forget_empty();
         if let Some(last_ms) = self.last_popped_ms {
@@ -235,9 +248,12 @@
         Some(queued)
     }
 
-    /// A workspace without requests keeps no deficit, or it could save up for a burst.
+    /// Forgets workspaces without requests and debts, and all debts once nothing waits.
     fn forget_empty(&mut self) {
-        self.workspaces.retain(|_, workspace| !workspace.is_empty());
+        let is_idle = self.len == 0;
+        self.workspaces.retain(|_, workspace| {
+            !workspace.is_empty() || (!is_idle && workspace.balance_tokens < 0)
+        });
     }
 }
 
@@ -274,8 +290,21 @@
         first.map(|(_, queue, index)| (queue, index))
     }
 
-    fn rounds_for(&self, cost_tokens: u64) -> u64 {
-        cost_tokens.saturating_sub(self.deficit_tokens).div_ceil(QUANTUM_TOKENS * self.weight)
+    /// Rounds until the balance is positive.
+    fn rounds_needed(&self) -> i64 {
+        if self.balance_tokens > 0 {
+            return 0;
+        }
+        self.balance_tokens.saturating_neg() / (QUANTUM_TOKENS * self.weight) + 1
+    }
+
+    /// Credits rounds. Nothing is saved up: a workspace whose requests cannot be placed now has one
+    /// round at most, and one without requests pays back its debt only.
+    fn earn(&mut self, rounds: i64) {
+        let round_tokens = QUANTUM_TOKENS * self.weight;
+        let limit_tokens = if self.is_empty() { 0 } else { round_tokens };
+        let earned = self.balance_tokens.saturating_add(rounds.saturating_mul(round_tokens));
+        self.balance_tokens = earned.min(limit_tokens.max(self.balance_tokens));
     }
 
     fn is_empty(&self) -> bool {
