mulberry-log: give each test run its own scratch folder

Cause: two test runs at the same time shared the folders of the tests on real files, and the folders stayed after the run. The names now hold the process id and the folders are removed at the end.

`cargo test -p mulberry-state -p mulberry-log`: 36 and 20 passed.

--- a/crates/mulberry-log/tests/it/folder.rs
+++ b/crates/mulberry-log/tests/it/folder.rs
@@ -10,11 +10,21 @@
 use crate::common::{Call, Model as _, cases, entry, open, small_settings, steps};
 use crate::fake_disk::{FakeDisk, Fault};
 
-/// Empty folder of one test in the build folder.
-fn scratch(name: &str) -> PathBuf {
-    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let _ = fs::remove_dir_all(&path);
-    path
+/// Folder of one test in the build folder, removed at its end. Its name holds the process id, so that two
+/// test runs do not meet.
+struct Scratch(PathBuf);
+
+impl Scratch {
+    fn new(name: &str) -> Scratch {
+        let name = format!("{name}-{}", std::process::id());
+        Scratch(Path::new(env!("CARGO_TARGET_TMPDIR")).join(name))
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
 }
 
 proptest! {
@@ -23,8 +33,8 @@
     /// Guards against a difference between the file system and the fake disk of the other tests.
     #[test]
     fn real_files_hold_what_was_written(steps in steps()) {
-        let path = scratch("real-files");
-        let open = || DataFolder::open(&path, small_settings());
+        let scratch = Scratch::new("real-files");
+        let open = || DataFolder::open(&scratch.0, small_settings());
         let (mut folder, mut state) = open().expect("new folder");
         let member = folder.member_id();
         for step in &steps {
@@ -65,12 +75,12 @@
 /// Guards against two processes that write one folder.
 #[test]
 fn second_user_is_refused() {
-    let path = scratch("locked");
-    let folder = DataFolder::open(&path, LogSettings::default()).expect("new folder");
-    let second = DataFolder::open(&path, LogSettings::default());
+    let scratch = Scratch::new("locked");
+    let folder = DataFolder::open(&scratch.0, LogSettings::default()).expect("new folder");
+    let second = DataFolder::open(&scratch.0, LogSettings::default());
     assert!(matches!(second, Err(LogError::Locked { .. })), "{second:?}");
     drop(folder);
-    DataFolder::open(&path, LogSettings::default()).expect("free again");
+    DataFolder::open(&scratch.0, LogSettings::default()).expect("free again");
 }
 
 /// Guards against two replicas with one id.
