Show the loss behind unsynced votes and entries of earlier terms

Cause: with 20,000 random cases the schedules did not notice when votes left before their sync, nor when entries of an earlier term were committed by counting. Both need a rare order of events. They now have a directed test each that shows the damage itself: two votes in a term after a crash, and a committed entry that another one replaces (five replicas, the older entry on a majority, the leader's first own entry on none of the others).

--- a/crates/mulberry-consensus/tests/consensus/replica.rs
+++ b/crates/mulberry-consensus/tests/consensus/replica.rs
@@ -86,6 +86,21 @@
     assert_eq!(raft.take_messages(), [(SECOND, message(2, reply))]);
 }
 
+/// Two votes in a term can elect two leaders.
+#[test]
+fn crash_before_the_sync_gives_no_second_vote() {
+    let on_disk = durable(&[1, 2, 3], &[]);
+    let last = Position { term: 1, index: 1 };
+    let mut granted = 0;
+    for candidate in [SECOND, THIRD] {
+        // Nothing of the first life was synced, so the second one starts from the same disk.
+        let mut raft = Raft::new(settings(&[1, 2, 3]), on_disk.clone(), 0);
+        raft.receive(600, candidate, message(2, MessageBody::Vote { last, transfer: false }));
+        granted += raft.take_messages().len();
+    }
+    assert!(granted <= 1, "voted for two candidates in term 2");
+}
+
 /// A leader that counts its own entries before its sync could commit what only a minority holds.
 #[test]
 fn leader_counts_its_own_entries_only_after_the_sync() {
--- a/crates/mulberry-consensus/tests/consensus/scenarios.rs
+++ b/crates/mulberry-consensus/tests/consensus/scenarios.rs
@@ -1,8 +1,10 @@
 //! Directed scenarios of whole groups.
 
-use mulberry_consensus::{Confirmation, MemberChangeError, MemberId, Members, Role};
+use mulberry_consensus::{
+    Confirmation, Entry, HardState, MemberChangeError, MemberId, Members, Payload, Role,
+};
 
-use crate::fake::Group;
+use crate::fake::{Group, STEP_MS};
 
 fn formed(size: u64) -> (Group, MemberId) {
     let mut group = Group::new(size, 1);
@@ -86,6 +88,50 @@
     assert_eq!(group.confirmed_reads, 1);
 }
 
+/// An entry of an earlier term that a majority holds can still be replaced by a leader with a later term.
+#[test]
+fn entry_of_an_earlier_term_is_not_acknowledged_before_one_of_the_own_term() {
+    let mut group = Group::new(5, 1);
+    group.max_message_bytes = 1;
+    let [old, down, third, fourth, newer] = [1, 2, 3, 4, 5].map(MemberId);
+    let voters = group.raft(old).members().clone();
+    let first = Entry { index: 1, term: 1, payload: Payload::Members(voters) };
+    for id in [old, down, third, fourth, newer] {
+        group.crash(id);
+        let disk = &mut group.replicas.get_mut(&id).expect("a replica").disk;
+        disk.hard_state = HardState { term: 3, voted_for: Some(newer) };
+        disk.entries = vec![first.clone()];
+        if id == old || id == newer {
+            let term: u64 = if id == old { 2 } else { 3 };
+            let payload = Payload::Command(term.to_le_bytes().to_vec());
+            disk.entries.push(Entry { index: 2, term, payload });
+        }
+    }
+    // The entry of term 2 reaches a majority, the first entry of term 4 does not.
+    for id in [old, third, fourth] {
+        group.restart(id);
+    }
+    let holds = |group: &Group, id| group.replicas[&id].disk.entries.len() == 2;
+    group.run_until_leader();
+    while !(holds(&group, third) && holds(&group, fourth)) {
+        for id in [third, fourth] {
+            if holds(&group, id) {
+                group.cuts.insert((old, id));
+            }
+        }
+        group.run(STEP_MS);
+    }
+    group.isolate(old);
+    group.cuts.retain(|&(from, _)| from == old);
+    group.run(100);
+    group.crash(old);
+    // The fake checks that the entry of term 3 replaces none that was committed.
+    group.restart(newer);
+    group.run_until(10_000, "election", |group| group.leader() == Some(newer));
+    group.commit_one(5_000);
+    assert_eq!(group.history[&2].0, 3);
+}
+
 /// A new voter that lacks the log would leave the group without a majority at the next loss.
 #[test]
 fn learner_is_promoted_only_after_it_has_caught_up() {
