Measure the cost of decisions and rank without sorting all engines

Cause: at the design size an entry ranks 4,100 engines for each request and merges 1,320 digests a second.

An index of targets by service was not tried; it would help with several models.

--- a/crates/mulberry-policy/src/fleet_view.rs
+++ b/crates/mulberry-policy/src/fleet_view.rs
@@ -15,6 +15,9 @@
 /// A home that has not sent a digest for this long has lost its lease or is cut off.
 const DIGEST_MS: u64 = 3_000;
 
+/// The cap of long prefills is as old as this at most: the interval of the digests it comes from.
+const CAP_MS: u64 = 250;
+
 /// Newest digest of one home.
 #[derive(Debug)]
 struct HomeView {
@@ -50,7 +53,9 @@
     homes: Vec<Arc<HomeView>>,
 
     in_flight: Arc<InFlight>,
-    long_prefill_cap: Option<Arc<LongPrefillCap>>,
+
+    /// Cap of long prefills and when it was computed.
+    long_prefill_cap: Option<(u64, Arc<LongPrefillCap>)>,
 }
 
 impl FleetView {
@@ -89,7 +94,6 @@
             Ok(position) => self.homes[position] = home,
             Err(position) => self.homes.insert(position, home),
         }
-        self.long_prefill_cap = None;
         true
     }
 
@@ -107,19 +111,19 @@
 
     /// Drops digests without a successor for 3 s. Call it at least once a second.
     pub fn prune(&mut self, now_ms: u64) {
-        let before = self.homes.len();
-        self.homes.retain(|home| home.received_ms + DIGEST_MS > now_ms);
-        if self.homes.len() != before {
-            self.long_prefill_cap = None;
-        }
+        self.homes.retain(|home| now_ms < home.received_ms + DIGEST_MS);
         self.in_flight.prune(now_ms);
     }
 
-    /// Computes what each ranking needs of the whole fleet. Call it before a snapshot is published;
-    /// without it each ranking of a long prompt computes it again.
-    pub fn prepare(&mut self, configuration: &Configuration) {
-        if self.long_prefill_cap.is_none() {
-            self.long_prefill_cap = Some(Arc::new(LongPrefillCap::of(self, configuration)));
+    /// Computes what each ranking needs of the whole fleet, at most every 250 ms. Call it before a
+    /// snapshot is published; without it each ranking of a long prompt computes it again.
+    ///
+    /// At the design size 330 homes send a digest every 250 ms. Apply them as they arrive, and
+    /// publish a snapshot a few times a second.
+    pub fn prepare(&mut self, now_ms: u64, configuration: &Configuration) {
+        if self.long_prefill_cap.as_ref().is_none_or(|(at_ms, _)| now_ms >= at_ms + CAP_MS) {
+            let cap = LongPrefillCap::of(self, configuration);
+            self.long_prefill_cap = Some((now_ms, Arc::new(cap)));
         }
     }
 
@@ -127,7 +131,7 @@
     #[must_use]
     pub fn long_prefill_cap(&self, configuration: &Configuration) -> Arc<LongPrefillCap> {
         match &self.long_prefill_cap {
-            Some(cap) => Arc::clone(cap),
+            Some((_, cap)) => Arc::clone(cap),
             None => Arc::new(LongPrefillCap::of(self, configuration)),
         }
     }
--- a/crates/mulberry-policy/src/home_ledger.rs
+++ b/crates/mulberry-policy/src/home_ledger.rs
@@ -270,7 +270,8 @@
         self.configuration = configuration;
     }
 
-    /// Uses a new cap, computed from the fleet view that includes this home's own digest.
+    /// Uses a new cap, computed from the fleet view that includes this home's own digest. Call it
+    /// after each [`crate::FleetView::prepare`]; without a cap no long prompt is granted.
     pub fn long_prefill_cap_changed(&mut self, cap: Arc<LongPrefillCap>) {
         self.long_prefill_cap = cap;
     }
@@ -772,6 +773,8 @@
                 continue;
             };
             expired += 1;
+            // It may have been the probe of an open breaker.
+            self.breaker.cancelled();
             if is_engine && reservation.boot_id == self.announcement.boot_id {
                 let lingering = Lingering { reservation, since_ms: now_ms, released: false };
                 self.lingering.insert(id, lingering);
--- a/crates/mulberry-policy/src/in_flight.rs
+++ b/crates/mulberry-policy/src/in_flight.rs
@@ -125,6 +125,11 @@
     #[must_use]
     pub fn of(&self, target: &str) -> AddedLoad {
         let mut load = AddedLoad::default();
+        // Most rankings find no reservation without a digest, and hashing each target would be most
+        // of their time.
+        if self.targets.is_empty() {
+            return load;
+        }
         for pending in self.targets.get(target).into_iter().flatten() {
             load.tokens += pending.total_tokens;
             load.slots += 1;
--- a/crates/mulberry-policy/src/placement.rs
+++ b/crates/mulberry-policy/src/placement.rs
@@ -18,6 +18,9 @@
 /// Homes that are asked for one request: with more, refusals cost more than waiting.
 const MAX_CANDIDATES: usize = 3;
 
+/// Choices that are put in order. While a target moves, two homes may list it.
+const MAX_ORDERED: usize = 2 * MAX_CANDIDATES;
+
 /// A prefix is worth this much waiting at the engine that probably has it cached.
 const PREFIX_MS: u64 = 200;
 
@@ -226,7 +229,7 @@
         }
         match policy {
             PlacementPolicy::ExpectedTime => {
-                order_by_time(request, &mut choices, prefix_engine.map(|(_, target)| target));
+                choices = best_by_time(request, &choices, prefix_engine.map(|(_, target)| target));
             }
             PlacementPolicy::RoundRobin => {
                 choices.sort_by(|a, b| a.target.target.cmp(&b.target.target));
@@ -375,27 +378,41 @@
     xxh3_64_with_seed(target.target.as_bytes(), seed)
 }
 
-fn order_by_time(
+/// The best choices by expected time, best first. A selection in one pass: sorting all engines of the
+/// design size costs more than looking at them.
+fn best_by_time<'a>(
     request: &PlacementRequest,
-    choices: &mut [Choice<'_>],
+    choices: &[Choice<'a>],
     prefix_engine: Option<&Arc<str>>,
-) {
-    choices.sort_by_cached_key(|choice| {
+) -> Vec<Choice<'a>> {
+    let mut best: Vec<((u64, u64, u64), Choice<'a>)> = Vec::with_capacity(MAX_ORDERED + 1);
+    for choice in choices {
         let target = choice.target;
         let free = u64::from(target.free_slots.saturating_sub(choice.added.slots));
         let taken_eighths = 8 - 8 * free / u64::from(target.slots.max(1));
-        (choice.expected_ms / SPAN_MS, taken_eighths, tie_break(request, target))
-    });
-    let Some(prefix_engine) = prefix_engine else {
-        return;
-    };
+        let span = choice.expected_ms / SPAN_MS;
+        let is_worse = best
+            .last()
+            .is_some_and(|((last, last_taken, _), _)| (span, taken_eighths) > (*last, *last_taken));
+        if best.len() == MAX_ORDERED && is_worse {
+            continue;
+        }
+        let key = (span, taken_eighths, tie_break(request, target));
+        let position = best.partition_point(|(other, _)| *other <= key);
+        best.insert(position, (key, *choice));
+        best.truncate(MAX_ORDERED);
+    }
+    let mut best: Vec<Choice<'a>> = best.into_iter().map(|(_, choice)| choice).collect();
     let best_ms = choices.iter().map(|choice| choice.expected_ms).min().unwrap_or(0);
-    let position = choices.iter().position(|choice| {
-        choice.target.target == *prefix_engine && choice.expected_ms <= best_ms + PREFIX_MS
+    let preferred = prefix_engine.and_then(|engine| {
+        let is_preferred = |choice: &&Choice<'_>| choice.target.target == *engine;
+        choices.iter().find(is_preferred).filter(|it| it.expected_ms <= best_ms + PREFIX_MS)
     });
-    if let Some(position) = position {
-        choices[..=position].rotate_right(1);
+    if let Some(preferred) = preferred {
+        best.retain(|choice| choice.target.target != preferred.target.target);
+        best.insert(0, *preferred);
     }
+    best
 }
 
 /// The first candidates; a target that two homes list counts once, with the newer home.
