mulberry-bench: parse the accounting from memory, test the smoke test

Cause: attohttpc 0.31 panics when a chunked body is read again after an error, which its JSON parser does when a connection is cut; an unreachable stand-in must be listed as such instead. And nothing showed that the smoke test fails on a single wrong answer.

Ruled out: catching the panic, because it would still print a backtrace.

--- a/crates/mulberry-bench/src/accounting.rs
+++ b/crates/mulberry-bench/src/accounting.rs
@@ -129,12 +129,14 @@
 }
 
 fn query(address: SocketAddr) -> Option<Value> {
-    attohttpc::get(format!("http://{address}/accounting"))
+    let answer = attohttpc::get(format!("http://{address}/accounting"))
         .proxy_settings(attohttpc::ProxySettings::builder().build())
         .connect_timeout(QUERY_TIMEOUT)
         .read_timeout(QUERY_TIMEOUT)
         .send()
         .ok()?
-        .json()
-        .ok()
+        .bytes()
+        .ok()?;
+    // Parsed from memory, because the client library panics if it is read again after an error.
+    serde_json::from_slice(&answer).ok()
 }
--- a/crates/mulberry-bench/tests/checker.rs
+++ b/crates/mulberry-bench/tests/checker.rs
@@ -9,8 +9,8 @@
 
 use mulberry_bench::{
     Call, CallLoad, Completion, CompletionLoad, Entry, Experiment, Outcome, PlannedKind, Route,
-    Sent, WorkspaceLoad, check_answer, check_partial_answer, compare, plan, plot, run, send_call,
-    send_completion,
+    Sent, SmokeTest, WorkspaceLoad, check_answer, check_partial_answer, compare, plan, plot, run,
+    send_call, send_completion, smoke,
 };
 use standin_engine::{ColdStartSettings, Engine, EngineSettings, Fault, expected_answer};
 use standin_service::{Fault as ServiceFault, Service, ServiceSettings};
@@ -256,6 +256,31 @@
     assert!(report.accounting.missing_calls.is_empty());
 }
 
+/// One wrong answer among many right ones must fail the smoke test.
+#[test]
+fn smoke_test_fails_on_one_wrong_answer() {
+    let engine = Engine::start(EngineSettings {
+        memory_tokens: 2_000_000,
+        step_ms: 1,
+        prefill_tokens_per_s: 4_000_000,
+        prefill_chunk_tokens: 40_000,
+        cold_start: ColdStartSettings { cold_ms: 0, ..ColdStartSettings::default() },
+        ..EngineSettings::default()
+    })
+    .unwrap();
+    let test = SmokeTest {
+        entries: vec![engine.address()],
+        api_key: "key".to_owned(),
+        model: "model-a".to_owned(),
+        service: None,
+    };
+    let (table, all_right) = smoke(&test);
+    assert!(all_right, "{table}");
+    engine.inject(&Fault::SkipChunk { count: 1 });
+    let (table, all_right) = smoke(&test);
+    assert!(!all_right && table.contains("wrong_gap"), "{table}");
+}
+
 /// A changed plan makes runs with the same seed incomparable.
 #[test]
 fn plan_follows_from_the_seed() {
