--- a/crates/mulberry-control/src/control_settings.rs
+++ b/crates/mulberry-control/src/control_settings.rs
@@ -44,7 +44,8 @@
 
     pub operators: Vec<OperatorToken>,
 
-    /// Log entries between two snapshots.
+    /// Least number of log entries between two snapshots; each replica adds up to half of it, so that
+    /// the replicas do not write theirs at the same time.
     pub snapshot_entries: u64,
 
     pub log: LogSettings,
--- a/crates/mulberry-control/src/replica.rs
+++ b/crates/mulberry-control/src/replica.rs
@@ -144,7 +144,7 @@
             PeerDirectory::new(member, parts.own_address, parts.operator_address, &parts.peers);
         Replica {
             bootstrap: parts.bootstrap,
-            snapshot_entries: parts.snapshot_entries,
+            snapshot_entries: staggered(parts.snapshot_entries, member),
             raft,
             folder: parts.folder,
             hard_state,
@@ -205,7 +205,6 @@
             let Ok(input) = self.inputs.try_recv() else { return };
             self.accept(input);
         }
-        self.has_more_work = true;
     }
 
     fn accept(&mut self, input: Input) {
@@ -539,6 +538,12 @@
     RaftSettings { id, seed: rand::random(), ..RaftSettings::default() }
 }
 
+/// Spreads the snapshots of the replicas, which stop each of them for as long as the write takes, so
+/// that a majority does not stop at the same index.
+fn staggered(snapshot_entries: u64, member: MemberId) -> u64 {
+    snapshot_entries + member.0 % (snapshot_entries / 2).max(1)
+}
+
 fn sorted_ids(voters: &[MemberId]) -> Vec<u64> {
     let mut ids: Vec<u64> = voters.iter().map(|voter| voter.0).collect();
     ids.sort_unstable();
--- a/crates/mulberry-control/src/replica/apply.rs
+++ b/crates/mulberry-control/src/replica/apply.rs
@@ -174,7 +174,8 @@
                         change = %change.id.0,
                         operator = %change.operator,
                         from_version = change.expected_version.0,
-                        to_version = version.0
+                        to_version = version.0,
+                        operations = serde_json::to_string(&change.operations).unwrap_or_default()
                     );
                 }
                 ChangeOutcome::Rejected { reason } => {
--- a/crates/mulberry-control/src/replica/leadership.rs
+++ b/crates/mulberry-control/src/replica/leadership.rs
@@ -181,12 +181,11 @@
             leadership.expire_claims_due_ms = now_ms + EXPIRE_CLAIMS_MS;
         }
         for (node, incarnation) in expired {
-            tracing::info!(event = "lease_expired", %node, incarnation = incarnation.0);
             let command = Command::Expire { now_ms: self.wall_ms(), node, incarnation };
-            if self.propose(&command, Waiter::Nobody).is_err() {
-                if let Some(leadership) = &mut self.leadership {
-                    leadership.leases.cancel_expiry(node, incarnation);
-                }
+            if self.propose(&command, Waiter::Nobody).is_ok() {
+                tracing::info!(event = "lease_expired", %node, incarnation = incarnation.0);
+            } else if let Some(leadership) = &mut self.leadership {
+                leadership.leases.cancel_expiry(node, incarnation);
             }
         }
         let counts = self.state.claim_counts();
