--- a/crates/mulberry-entry/src/entry.rs
+++ b/crates/mulberry-entry/src/entry.rs
@@ -159,7 +159,7 @@
         }
         self.links.membership_applied(&membership);
         let configuration = &self.configuration.current().configuration;
-        self.fleet.membership_applied(&membership, configuration);
+        self.fleet.membership_applied(self.clock.now_ms(), &membership, configuration);
         self.metrics.membership_epoch.set(membership.epoch.0 as i64);
         tracing::info!(
             epoch = %membership.epoch, members = membership.members.len(), "membership_applied"
--- a/crates/mulberry-entry/src/fleet_holder.rs
+++ b/crates/mulberry-entry/src/fleet_holder.rs
@@ -28,27 +28,32 @@
     pub fn digest_received(&self, now_ms: u64, digest: HomeDigest, configuration: &Configuration) {
         let mut view = self.lock();
         if view.apply(now_ms, digest) {
-            self.publish(&mut view, configuration);
+            self.publish(now_ms, &mut view, configuration);
         }
     }
 
     /// Drops the digests of members that are gone.
-    pub fn membership_applied(&self, membership: &Arc<Membership>, configuration: &Configuration) {
+    pub fn membership_applied(
+        &self,
+        now_ms: u64,
+        membership: &Arc<Membership>,
+        configuration: &Configuration,
+    ) {
         let mut view = self.lock();
         view.membership_applied(membership);
-        self.publish(&mut view, configuration);
+        self.publish(now_ms, &mut view, configuration);
     }
 
     /// Drops old digests and returns the cap of long prefills by what remains.
     pub fn prune(&self, now_ms: u64, configuration: &Configuration) -> Arc<LongPrefillCap> {
         let mut view = self.lock();
         view.prune(now_ms);
-        self.publish(&mut view, configuration);
+        self.publish(now_ms, &mut view, configuration);
         view.long_prefill_cap(configuration)
     }
 
-    fn publish(&self, view: &mut FleetView, configuration: &Configuration) {
-        view.prepare(configuration);
+    fn publish(&self, now_ms: u64, view: &mut FleetView, configuration: &Configuration) {
+        view.prepare(now_ms, configuration);
         self.published.store(Arc::new(view.clone()));
     }
 
