Ignore a target's list that arrives after a newer one

Cause: an older list, delivered late, lacked work that the newer list had shown. The home took this as the end of cut-off work and gave its room away: 3 streams on a target whose ramp allowed 2.

The home now drops lists that were requested before the newest one that it has used. A test with the two lists guards it.

--- a/crates/mulberry-policy/src/home_ledger.rs
+++ b/crates/mulberry-policy/src/home_ledger.rs
@@ -184,6 +184,9 @@
 
     left_heard_ms: Option<u64>,
 
+    /// When the newest list of the target was requested.
+    listed_ms: u64,
+
     /// Replaced boot ids with the time of the replacement.
     old_boots: VecDeque<(u64, u64)>,
 
@@ -448,9 +451,12 @@
         let Some(record) = self.targets.get_mut(target) else {
             return Vec::new();
         };
-        if inventory.boot_id != record.announcement.boot_id {
+        // An older list that arrives later lacks work that the newer one has shown.
+        let is_late = inventory.requested_ms < record.listed_ms;
+        if is_late || inventory.boot_id != record.announcement.boot_id {
             return Vec::new();
         }
+        record.listed_ms = inventory.requested_ms;
         record.reconcile(now_ms, inventory, &mut self.target_of);
         let claimed = &self.claimed;
         let gone = &self.gone;
@@ -509,6 +515,7 @@
             acting_since_ms: now_ms,
             counted: false,
             left_heard_ms: None,
+            listed_ms: 0,
             old_boots: VecDeque::new(),
             ramp,
             breaker: CircuitBreaker::default(),
--- a/crates/mulberry-policy/tests/home_ledger.rs
+++ b/crates/mulberry-policy/tests/home_ledger.rs
@@ -214,3 +214,16 @@
     release(&mut ledger, 3_700, request(2, 10), ReleaseOutcome::Succeeded);
     assert_eq!(reason(&mut ledger, 3_700, 12, 10), None);
 }
+
+/// Guards against room that is free again because an older list, which arrives late, lacks the work.
+#[test]
+fn a_late_list_does_not_free_what_a_newer_one_shows() {
+    let mut ledger = counted(4);
+    assert_eq!(reason(&mut ledger, 1_600, 1, 6_000), None);
+    release(&mut ledger, 1_700, request(2, 1), ReleaseOutcome::Cancelled);
+    ledger.reconcile(3_510, "e", &list(3_500, vec![item(request(2, 1), 6_000, 1_000)]));
+    ledger.reconcile(3_600, "e", &list(2_500, Vec::new()));
+    assert_eq!(ledger.digest(3_600).targets[0].free_tokens, 4_000);
+    ledger.reconcile(4_510, "e", &list(4_500, Vec::new()));
+    assert_eq!(ledger.digest(4_510).targets[0].free_tokens, 10_000);
+}
