Count own reservations until the digest that shows them is published

Between the two, a burst could go to one engine again.

Also: - Rankings leave out targets that are not expected to give the first token before the deadline, and say so when none is left, so that such a request is answered at once. - The speed in digests follows the prefill time of all prompts. The mean of the factors of the length classes gave classes without observations the same weight as those with all of the traffic.

--- a/crates/mulberry-policy/src/cost_model.rs
+++ b/crates/mulberry-policy/src/cost_model.rs
@@ -13,6 +13,12 @@
 /// Speed of an engine that states none.
 const DEFAULT_TOKENS_PER_S: u32 = 5_000;
 
+/// Share of earlier observations that each new one removes from the speed.
+const SPEED_DECAY: f64 = 0.02;
+
+/// Weight of the stated speed before observations, in milliseconds of prefill.
+const STATED_WEIGHT_MS: f64 = 1_000.0;
+
 /// Weight of a new observation in the factor.
 const FACTOR_WEIGHT: f64 = 0.1;
 
@@ -26,11 +32,19 @@
 pub struct CostModel {
     /// Observed over estimated time, by length class.
     factors: [f64; 4],
+
+    /// Sums of observed and estimated times, decayed, for the speed in digests.
+    observed_ms: f64,
+    estimated_ms: f64,
 }
 
 impl Default for CostModel {
     fn default() -> CostModel {
-        CostModel { factors: [1.0; 4] }
+        CostModel {
+            factors: [1.0; 4],
+            observed_ms: STATED_WEIGHT_MS,
+            estimated_ms: STATED_WEIGHT_MS,
+        }
     }
 }
 
@@ -63,6 +77,9 @@
             (observed_ms.max(1) as f64 / estimate_ms.max(1) as f64).clamp(MIN_FACTOR, MAX_FACTOR);
         let factor = &mut self.factors[LengthClass::of(prompt_tokens) as usize];
         *factor += FACTOR_WEIGHT * (ratio - *factor);
+        let estimate_ms = estimate_ms.max(1) as f64;
+        self.observed_ms += ratio * estimate_ms - SPEED_DECAY * self.observed_ms;
+        self.estimated_ms += estimate_ms - SPEED_DECAY * self.estimated_ms;
     }
 
     /// Correction for a length class, between 0.25 and 4.
@@ -71,12 +88,12 @@
         self.factors[class as usize]
     }
 
-    /// Prefill speed for digests, corrected by the mean factor of all classes.
+    /// Prefill speed for digests, corrected by what was observed. Long prompts count more than short
+    /// ones, whose time depends little on the speed.
     #[must_use]
     pub fn tokens_per_s(&self, stated_tokens_per_s: u32) -> u32 {
         let speed =
             if stated_tokens_per_s == 0 { DEFAULT_TOKENS_PER_S } else { stated_tokens_per_s };
-        let mean = self.factors.iter().sum::<f64>() / self.factors.len() as f64;
-        (f64::from(speed) / mean) as u32
+        (f64::from(speed) * self.estimated_ms / self.observed_ms) as u32
     }
 }
--- a/crates/mulberry-policy/src/fleet_view.rs
+++ b/crates/mulberry-policy/src/fleet_view.rs
@@ -54,6 +54,8 @@
 
     in_flight: Arc<InFlight>,
 
+    prepared_ms: u64,
+
     /// Cap of long prefills and when it was computed.
     long_prefill_cap: Option<(u64, Arc<LongPrefillCap>)>,
 }
@@ -66,6 +68,7 @@
             membership: Arc::new(Membership::default()),
             homes: Vec::new(),
             in_flight,
+            prepared_ms: 0,
             long_prefill_cap: None,
         }
     }
@@ -88,7 +91,6 @@
                 return false;
             }
         }
-        self.in_flight.digest_applied(now_ms, &digest);
         let home = Arc::new(HomeView { received_ms: now_ms, digest });
         match position {
             Ok(position) => self.homes[position] = home,
@@ -115,12 +117,20 @@
         self.in_flight.prune(now_ms);
     }
 
-    /// Computes what each ranking needs of the whole fleet, at most every 250 ms. Call it before a
-    /// snapshot is published; without it each ranking of a long prompt computes it again.
+    /// Makes the view ready to be published. Call it immediately before the snapshot is stored.
+    ///
+    /// Reservations of this entry that the new digests show are counted no longer; doing this when a
+    /// digest arrives would leave them out of the older snapshot that is still in use. The cap of
+    /// long prefills is computed at most every 250 ms; without this call each ranking of a long
+    /// prompt computes it again.
     ///
     /// At the design size 330 homes send a digest every 250 ms. Apply them as they arrive, and
     /// publish a snapshot a few times a second.
     pub fn prepare(&mut self, now_ms: u64, configuration: &Configuration) {
+        for home in self.homes.iter().filter(|home| home.received_ms >= self.prepared_ms) {
+            self.in_flight.digest_applied(home.received_ms, &home.digest);
+        }
+        self.prepared_ms = now_ms;
         if self.long_prefill_cap.as_ref().is_none_or(|(at_ms, _)| now_ms >= at_ms + CAP_MS) {
             let cap = LongPrefillCap::of(self, configuration);
             self.long_prefill_cap = Some((now_ms, Arc::new(cap)));
--- a/crates/mulberry-policy/src/in_flight.rs
+++ b/crates/mulberry-policy/src/in_flight.rs
@@ -85,15 +85,15 @@
         }
     }
 
-    /// Forgets what a digest that has just arrived shows.
-    pub fn digest_applied(&self, now_ms: u64, digest: &HomeDigest) {
+    /// Forgets what a digest that arrived at `received_ms` shows.
+    pub(crate) fn digest_applied(&self, received_ms: u64, digest: &HomeDigest) {
         let mut targets = self.lock();
         for target in &digest.targets {
             let Some(pending) = targets.get_mut(&target.target) else {
                 continue;
             };
             pending.retain(|pending| {
-                pending.granted_ms.is_none_or(|granted| granted + DIGEST_TRANSIT_MS > now_ms)
+                pending.granted_ms.is_none_or(|granted| granted + DIGEST_TRANSIT_MS > received_ms)
             });
             if pending.is_empty() {
                 targets.remove(&target.target);
--- a/crates/mulberry-policy/src/placement.rs
+++ b/crates/mulberry-policy/src/placement.rs
@@ -96,6 +96,9 @@
 
     /// Every target that could take it is full or busy with long prompts.
     Full,
+
+    /// No target is expected to give the first token before the deadline.
+    TooLate,
 }
 
 /// Result of a ranking.
@@ -204,7 +207,7 @@
                 reason = reason.max(NoCandidateReason::BeyondOneEngine);
                 continue;
             }
-            reason = NoCandidateReason::Full;
+            reason = reason.max(NoCandidateReason::Full);
             if let Some(prefix_hash) = request.prefix_hash {
                 let weight = xxh3_64_with_seed(target.target.as_bytes(), prefix_hash);
                 if prefix_engine.is_none_or(|best| (weight, &target.target) > best) {
@@ -222,6 +225,10 @@
                 continue;
             }
             let expected_ms = self.expected_ms(request, target, &added);
+            if expected_ms > request.remaining_ms {
+                reason = reason.max(NoCandidateReason::TooLate);
+                continue;
+            }
             choices.push(Choice { home, target, added, expected_ms });
         }
         if choices.is_empty() {
@@ -360,13 +367,14 @@
             NoCandidateReason::NoneReady => 1,
             NoCandidateReason::BeyondOneEngine => 2,
             NoCandidateReason::Full => 3,
+            NoCandidateReason::TooLate => 4,
         }
     }
 
     fn retry_after_ms(self) -> u64 {
         match self {
             NoCandidateReason::NoTarget | NoCandidateReason::NoneReady => MISSING_RETRY_MS,
-            NoCandidateReason::BeyondOneEngine => 0,
+            NoCandidateReason::BeyondOneEngine | NoCandidateReason::TooLate => 0,
             NoCandidateReason::Full => FULL_RETRY_MS,
         }
     }
--- a/crates/mulberry-policy/tests/admission.rs
+++ b/crates/mulberry-policy/tests/admission.rs
@@ -121,5 +121,6 @@
     assert!(cost.factor(LengthClass::Short) <= 4.0);
     assert!((cost.factor(LengthClass::Huge) - 0.5).abs() < 0.01);
     assert!((cost.factor(LengthClass::Medium) - 1.0).abs() < 1e-9);
-    assert!(cost.tokens_per_s(10_000) < 10_000);
+    // The speed follows the long prompts, which take twice the stated speed.
+    assert!((19_000..=20_000).contains(&cost.tokens_per_s(10_000)));
 }
--- a/crates/mulberry-policy/tests/placement.rs
+++ b/crates/mulberry-policy/tests/placement.rs
@@ -262,3 +262,32 @@
     view.membership_applied(&Arc::new(membership));
     assert_eq!(view.targets().count(), 0);
 }
+
+/// Guards against rankings that wait for a target without hope, and against counting a reservation
+/// twice or not at all around the digest that shows it.
+#[test]
+fn late_requests_are_told_so_and_shown_reservations_count_once() {
+    let mut view = view(&[target_digest("engine-0", 100_000, 1)]);
+    let configuration = Configuration::default();
+    let ranking = |view: &FleetView, remaining_ms| {
+        let asked = PlacementRequest { remaining_ms, ..asks(1, 10_000, 100) };
+        let policy = PlacementPolicy::ExpectedTime;
+        Placement::default().rank(NOW_MS, &asked, view, &configuration, policy)
+    };
+    let (reason, retry_after_ms) = (NoCandidateReason::TooLate, 0);
+    assert_eq!(ranking(&view, 1_000), Ranking::Nothing { reason, retry_after_ms });
+    assert!(matches!(ranking(&view, 1_100), Ranking::Candidates(_)));
+    let full = Ranking::Nothing { reason: NoCandidateReason::Full, retry_after_ms: 250 };
+    let reserve = common::reserve("engine-0", request(0, 9), 10, 10);
+    view.in_flight().started(NOW_MS, &reserve);
+    view.in_flight().granted(NOW_MS + 1, reserve.request, "engine-0");
+    let snapshot = view.clone();
+    let after = target_digest("engine-0", 100_000, 2);
+    view.apply(NOW_MS + 50, home_digest(0, 2, vec![after.clone()]));
+    view.prepare(NOW_MS + 50, &configuration);
+    assert_eq!(view.in_flight().loads().of("engine-0").slots, 1, "the digest may be older");
+    view.apply(NOW_MS + 300, home_digest(0, 3, vec![after]));
+    assert_eq!(ranking(&snapshot, 60_000), full, "the snapshot in use does not show it");
+    view.prepare(NOW_MS + 300, &configuration);
+    assert_eq!(view.in_flight().loads().of("engine-0").slots, 0);
+}
