--- a/crates/mulberry-policy/tests/two_homes.rs
+++ b/crates/mulberry-policy/tests/two_homes.rs
@@ -9,7 +9,8 @@
 
 use mulberry_policy::{EntryLease, GrantEffect, Homes};
 use mulberry_types::{
-    ConfigurationVersion, Grant, Incarnation, Member, Membership, MembershipEpoch, NodeId,
+    ConfigurationVersion, ControlReply, Grant, Incarnation, Member, Membership, MembershipEpoch,
+    NodeId, Renew,
 };
 use proptest::prelude::*;
 use rand::Rng;
@@ -25,10 +26,8 @@
 
 #[derive(Debug, Clone)]
 enum Message {
-    Renew { member: Member, sequence: u64, have_epoch: MembershipEpoch },
-    Granted { to: Member, grant: Grant },
-    Expelled { to: Member },
-    Update { to: Member, membership: Membership },
+    Renew(Renew),
+    Reply { to: Member, reply: ControlReply },
 }
 
 #[derive(Debug)]
@@ -41,7 +40,7 @@
     joined: bool,
     next_renewal_ms: u64,
     frozen_until_ms: u64,
-    inbox: Vec<Message>,
+    inbox: Vec<ControlReply>,
 }
 
 #[derive(Debug)]
@@ -100,9 +99,9 @@
         self.joined = false;
     }
 
-    fn receive(&mut self, message: Message, now_ms: u64) {
-        match message {
-            Message::Granted { grant, .. } => {
+    fn receive(&mut self, reply: ControlReply, now_ms: u64) {
+        match reply {
+            ControlReply::Granted(grant) => {
                 if let Some(membership) = &grant.membership {
                     self.homes.membership_applied(&Arc::new(membership.clone()));
                 }
@@ -115,11 +114,10 @@
                     self.homes.settled(grant.settled_epoch);
                 }
             }
-            Message::Expelled { .. } => self.give_up(),
-            Message::Update { membership, .. } => {
+            ControlReply::Update { membership: Some(membership), .. } => {
                 self.homes.membership_applied(&Arc::new(membership));
             }
-            Message::Renew { .. } => {}
+            _ => self.give_up(),
         }
     }
 }
@@ -145,19 +143,14 @@
         }
     }
 
-    fn renew(
-        &mut self,
-        member: Member,
-        sequence: u64,
-        have_epoch: MembershipEpoch,
-        now_ms: u64,
-    ) -> Message {
+    fn renew(&mut self, renew: &Renew, now_ms: u64) -> ControlReply {
+        let Renew { member, sequence, have_epoch, .. } = renew.clone();
         let newest = self.newest_incarnation.entry(member.node).or_insert(member.incarnation);
         *newest = (*newest).max(member.incarnation);
         let is_member = self.membership.member(member.node).map(|known| known.incarnation)
             == Some(member.incarnation);
         if *newest != member.incarnation || (!is_member && have_epoch.0 != 0) {
-            return Message::Expelled { to: member };
+            return ControlReply::Expelled;
         }
         if !is_member {
             let joining = member.clone();
@@ -176,11 +169,10 @@
             known.answered_ms = now_ms;
         }
         let membership = (have_epoch < epoch).then(|| self.membership.clone());
-        let version = ConfigurationVersion(0);
-        let lease_ms = LEASE_MS;
-        let grant =
-            Grant { sequence, lease_ms, version, epoch, settled_epoch, update: None, membership };
-        Message::Granted { to: member, grant }
+        let (lease_ms, version) = (LEASE_MS, ConfigurationVersion(0));
+        let update = None;
+        let grant = Grant { sequence, lease_ms, version, epoch, settled_epoch, update, membership };
+        ControlReply::Granted(grant)
     }
 }
 
@@ -268,40 +260,29 @@
 
     fn push_update(&mut self) {
         for to in self.leader.membership.members.clone() {
-            let membership = self.leader.membership.clone();
-            self.send(Message::Update { to, membership });
+            let membership = Some(self.leader.membership.clone());
+            let reply = ControlReply::Update { update: None, membership };
+            self.send(Message::Reply { to, reply });
         }
     }
 
     fn deliver(&mut self) {
         while let Some(due) = self.messages.first_entry().filter(|due| due.key().0 <= self.now_ms) {
             match due.remove() {
-                Message::Renew { member, sequence, have_epoch } => {
-                    if self.now_ms < self.leader.absent_until_ms {
-                        continue;
-                    }
+                Message::Renew(renew) if self.now_ms >= self.leader.absent_until_ms => {
                     let now_ms = local_ms(self.now_ms, self.leader.clock_rate);
                     let before = self.leader.membership.epoch;
-                    let reply = self.leader.renew(member, sequence, have_epoch, now_ms);
-                    self.send(reply);
+                    let reply = self.leader.renew(&renew, now_ms);
+                    self.send(Message::Reply { to: renew.member, reply });
                     if self.leader.membership.epoch != before {
                         self.push_update();
                     }
                 }
-                message @ (Message::Granted { .. }
-                | Message::Expelled { .. }
-                | Message::Update { .. }) => {
-                    let (Message::Granted { to, .. }
-                    | Message::Expelled { to }
-                    | Message::Update { to, .. }) = &message
-                    else {
-                        continue;
-                    };
+                Message::Renew(_) => {}
+                Message::Reply { to, reply } => {
                     // Answers to an earlier life do not reach a restarted process.
-                    let entry = self.entries.iter_mut().find(|entry| entry.member == *to);
-                    if let Some(entry) = entry {
-                        entry.inbox.push(message);
-                    }
+                    let entry = self.entries.iter_mut().find(|entry| entry.member == to);
+                    entry.into_iter().for_each(|entry| entry.inbox.push(reply.clone()));
                 }
             }
         }
@@ -317,23 +298,22 @@
             if entry.joined && !entry.lease.is_valid(now_ms) {
                 entry.give_up();
             }
-            for message in std::mem::take(&mut entry.inbox) {
-                entry.receive(message, now_ms);
+            for reply in std::mem::take(&mut entry.inbox) {
+                entry.receive(reply, now_ms);
             }
             if self.now_ms >= entry.next_renewal_ms {
                 entry.next_renewal_ms = self.now_ms + 500;
                 entry.sequence += 1;
                 entry.lease.renewal_sent(entry.sequence, now_ms);
-                let epoch = entry.homes.epoch();
-                renewals.push(Message::Renew {
-                    member: entry.member.clone(),
-                    sequence: entry.sequence,
-                    have_epoch: if entry.joined { epoch } else { MembershipEpoch(0) },
-                });
+                let have_epoch =
+                    if entry.joined { entry.homes.epoch() } else { MembershipEpoch(0) };
+                let (member, sequence) = (entry.member.clone(), entry.sequence);
+                let have_version = ConfigurationVersion(0);
+                renewals.push(Renew { member, sequence, have_version, have_epoch });
             }
         }
         for renewal in renewals {
-            self.send(renewal);
+            self.send(Message::Renew(renewal));
         }
     }
 
