Prefer targets by taken slots, so that a ramping target gets work

Cause: among targets with about the same expected time the one with the most free slots was chosen. A target that ramps up has one slot free and none taken, looked full beside idle warm ones, and got no request in 60 s with 8 callers (zone_that_is_out_gets_no_new_work failed). A zone that had come back would have stayed cold until the others were full.

Ruled out: raising the first limit of the ramp, which would break its bound.

Digests carry the taken slots now. Before: the new placement test fails; after: it passes, and the zone test passes with the other 51 tests of the two crates.

--- a/crates/mulberry-policy/examples/cost.rs
+++ b/crates/mulberry-policy/examples/cost.rs
@@ -46,6 +46,7 @@
         memory_tokens: MEMORY_TOKENS,
         free_tokens: MEMORY_TOKENS - 1_000 * (index as u64 % 50),
         free_slots: SLOTS - index as u32 % 20,
+        taken_slots: index as u32 % 20,
         slots: SLOTS,
         prefill_tokens_per_s: 12_000,
         queued_prompt_tokens: [0, (index as u64 * 7_919) % 30_000, 0],
--- a/crates/mulberry-policy/src/home_ledger.rs
+++ b/crates/mulberry-policy/src/home_ledger.rs
@@ -955,6 +955,7 @@
             memory_tokens: announcement.memory_tokens,
             free_tokens: announcement.memory_tokens.saturating_sub(taken.tokens),
             free_slots: self.ramp.limit().saturating_sub(taken.slots),
+            taken_slots: taken.slots,
             slots: announcement.slots,
             prefill_tokens_per_s: self.cost.tokens_per_s(announcement.prefill_tokens_per_s),
             queued_prompt_tokens: self.queued_prompt_tokens(now_ms),
--- a/crates/mulberry-policy/src/placement.rs
+++ b/crates/mulberry-policy/src/placement.rs
@@ -245,8 +245,7 @@
             }
             PlacementPolicy::LeastReportedLoad => {
                 choices.sort_by_key(|choice| {
-                    let taken = choice.target.slots.saturating_sub(choice.target.free_slots);
-                    (taken, tie_break(request, choice.target))
+                    (choice.target.taken_slots, tie_break(request, choice.target))
                 });
             }
         }
@@ -396,8 +395,10 @@
     let mut best: Vec<((u64, u64, u64), Choice<'a>)> = Vec::with_capacity(MAX_ORDERED + 1);
     for choice in choices {
         let target = choice.target;
-        let free = u64::from(target.free_slots.saturating_sub(choice.added.slots));
-        let taken_eighths = 8 - 8 * free / u64::from(target.slots.max(1));
+        // By what is taken, not by what is free: a target that ramps up has few slots free, and if
+        // it counted as full it would get no work beside idle warm ones and never ramp up.
+        let taken = u64::from(target.taken_slots + choice.added.slots);
+        let taken_eighths = 8 * taken / u64::from(target.slots.max(1));
         let span = choice.expected_ms / SPAN_MS;
         let is_worse = best
             .last()
--- a/crates/mulberry-policy/tests/common/mod.rs
+++ b/crates/mulberry-policy/tests/common/mod.rs
@@ -68,6 +68,7 @@
         memory_tokens,
         free_tokens: memory_tokens,
         free_slots: slots,
+        taken_slots: 0,
         slots,
         prefill_tokens_per_s: 10_000,
         queued_prompt_tokens: [0; 3],
--- a/crates/mulberry-policy/tests/placement.rs
+++ b/crates/mulberry-policy/tests/placement.rs
@@ -61,6 +61,7 @@
             zone: ["a", "b", "c"][zone].into(),
             free_tokens: free.min(memory),
             free_slots,
+            taken_slots: 8 - free_slots,
             queued_prompt_tokens: queued.map(u64::from),
             long_prefill,
             takes_work,
@@ -218,6 +219,25 @@
     }
 }
 
+/// Guards against a target that ramps up and gets no work beside warm ones with free slots, so that
+/// a zone that has come back stays cold until the others are full.
+#[test]
+fn idle_target_that_ramps_up_comes_before_busier_warm_ones() {
+    let warm =
+        TargetDigest { free_slots: 24, taken_slots: 8, ..target_digest("warm", 1_000_000, 32) };
+    let cold =
+        TargetDigest { free_slots: 1, taken_slots: 0, ..target_digest("cold", 1_000_000, 32) };
+    let view = view(&[warm, cold]);
+    let placement = Placement::new("a".into(), 1);
+    for counter in 0..20 {
+        let policy = PlacementPolicy::ExpectedTime;
+        let asked = asks(counter, 200, 50);
+        let ranking = placement.rank(NOW_MS, &asked, &view, &Configuration::default(), policy);
+        let Ranking::Candidates(candidates) = ranking else { panic!("there is room") };
+        assert_eq!(&*candidates[0].target, "cold");
+    }
+}
+
 #[test]
 fn a_prefix_prefers_its_engine_up_to_200_ms() {
     let names = names("engine", 6);
--- a/crates/mulberry-types/src/home_messages.rs
+++ b/crates/mulberry-types/src/home_messages.rs
@@ -192,6 +192,9 @@
     /// Slots that the ramp and the reservations leave.
     pub free_slots: u32,
 
+    /// Slots that are taken. A target that ramps up may have few slots free and few taken.
+    pub taken_slots: u32,
+
     pub slots: u32,
 
     /// Prefill speed, corrected by what was observed.
