--- a/crates/mulberry-consensus/src/raft/election.rs
+++ b/crates/mulberry-consensus/src/raft/election.rs
@@ -84,6 +84,7 @@
         }
     }
 
+    /// Votes whatever the newest members are: a replica may have been promoted without having heard of it yet.
     pub(super) fn on_vote(&mut self, from: MemberId, last: Position) {
         let free = self.hard_state.voted_for.is_none_or(|voted_for| voted_for == from);
         let granted = free && last >= self.log.last();
