--- a/crates/mulberry-consensus/tests/consensus/replica.rs
+++ b/crates/mulberry-consensus/tests/consensus/replica.rs
@@ -154,6 +154,20 @@
     }
 }
 
+/// A replica with the longest log that does not campaign leaves a group without a leader for good: the others cannot
+/// get its vote.
+#[test]
+fn removed_voter_campaigns_until_its_removal_is_committed() {
+    for (commit_index, role) in [(1, Role::PreCandidate), (2, Role::Follower)] {
+        let mut state = durable(&[1, 2, 3], &[2]);
+        state.entries[1].payload = Payload::Members(members(&[2, 3]));
+        let mut raft = Raft::new(settings(&[]), state, 0);
+        raft.receive(0, SECOND, message(2, MessageBody::Heartbeat { commit_index, round: 0 }));
+        raft.tick(LATER_MS);
+        assert_eq!(raft.role(), role);
+    }
+}
+
 /// Without bounds a member that is cut off would make the leader queue its whole log again and again.
 #[test]
 fn messages_and_entries_in_flight_are_bounded() {
