--- a/crates/mulberry-policy/tests/ledger_faults.rs
+++ b/crates/mulberry-policy/tests/ledger_faults.rs
@@ -11,8 +11,8 @@
     reservation_id,
 };
 use mulberry_types::{
-    Announcement, Configuration, Incarnation, LoadReport, MembershipEpoch, NodeId, Refused,
-    Release, ReleaseOutcome, RequestId, ReservationId, Reserved, Zone, ZoneState,
+    Configuration, HomeRequest, Incarnation, LoadReport, MembershipEpoch, NodeId, Refused, Release,
+    ReleaseOutcome, RequestId, ReservationId, Reserve, Reserved, Zone, ZoneState,
 };
 use proptest::prelude::*;
 use rand::Rng;
@@ -28,13 +28,10 @@
 const ENTRIES: usize = 4;
 
 enum Message {
-    Reserve { entry: usize, request: RequestId, home: usize, sent_ms: u64 },
+    Home { home: usize, sent_ms: u64, request: HomeRequest },
     Reply { request: RequestId, sent_ms: u64, result: Result<Reserved, Refused> },
-    Extend { entry: usize, ids: Vec<ReservationId>, home: usize, sent_ms: u64 },
     Extended { ids: Vec<ReservationId>, sent_ms: u64 },
-    Release { home: usize, release: Release },
-    Start { request: RequestId, boot_id: u64, prompt_tokens: u64, total_tokens: u64 },
-    Announce { home: usize, announcement: Announcement },
+    Start { request: RequestId, stream: Stream },
     List { home: usize, requested_ms: u64 },
     Listed { home: usize, inventory: TargetInventory },
     Cleanup { request: RequestId },
@@ -42,9 +39,7 @@
 }
 
 struct Attempt {
-    entry: usize,
-    prompt_tokens: u64,
-    total_tokens: u64,
+    reserve: Reserve,
     hold: Option<ReservationHold>,
     boot_id: u64,
     start_ms: u64,
@@ -52,11 +47,10 @@
 }
 
 struct Stream {
-    total_tokens: u64,
-    prompt_tokens: u64,
+    reserve: Reserve,
+    reserved_boot: u64,
     since_ms: u64,
     end_ms: u64,
-    reserved_boot: u64,
 }
 
 struct World {
@@ -142,7 +136,7 @@
         if self.random.random_bool(0.003 * self.rate) {
             let entry = self.random.random_range(0..ENTRIES);
             self.alive[entry] = !self.alive[entry];
-            self.attempts.retain(|_, attempt| attempt.entry != entry);
+            self.attempts.retain(|request, _| request.node.0 != entry as u32);
             for ledger in &mut self.ledgers {
                 ledger.member_gone(NodeId(entry as u32), Incarnation(entry as u64));
             }
@@ -163,44 +157,40 @@
         }
     }
 
-    fn held(&self, entry: usize) -> Vec<RequestId> {
-        let now_ms = self.now_ms;
-        self.attempts
-            .iter()
-            .filter(|(_, attempt)| attempt.entry == entry)
-            .filter(|(_, attempt)| attempt.hold.as_ref().is_some_and(|hold| hold.is_live(now_ms)))
-            .map(|(request, _)| *request)
-            .collect()
+    fn send_home(&mut self, loss: f64, max_delay_ms: u64, request: HomeRequest) {
+        let (home, sent_ms) = (self.home, self.now_ms);
+        self.send(loss, max_delay_ms, Message::Home { home, sent_ms, request });
+    }
+
+    fn held(&self, node: NodeId) -> Vec<RequestId> {
+        let is_live =
+            |attempt: &Attempt| attempt.hold.as_ref().is_some_and(|hold| hold.is_live(self.now_ms));
+        let attempts = self.attempts.iter();
+        let held = attempts.filter(|(request, it)| request.node == node && is_live(it));
+        held.map(|(request, _)| *request).collect()
     }
 
     fn run_entries(&mut self) {
-        let (now_ms, home) = (self.now_ms, self.home);
-        for entry in 0..ENTRIES {
-            if !self.alive[entry] {
-                continue;
-            }
+        let now_ms = self.now_ms;
+        for entry in (0..ENTRIES).filter(|entry| self.alive[*entry]).collect::<Vec<_>>() {
             if self.faulty() && self.random.random_bool(0.15) {
                 self.counter += 1;
                 let request = common::request(entry as u32, self.counter);
                 let prompt_tokens = self.random.random_range(1..=12_000);
                 let total_tokens = prompt_tokens + self.random.random_range(0..20_000);
                 let held_ms = if self.random.random_bool(0.1) { 6_000 } else { 100 };
-                let attempt = Attempt {
-                    entry,
-                    prompt_tokens,
-                    total_tokens,
-                    hold: None,
-                    boot_id: 0,
-                    start_ms: now_ms + self.random.random_range(0..held_ms),
-                    started: false,
-                };
+                let start_ms = now_ms + self.random.random_range(0..held_ms);
+                let reserve = common::reserve(TARGET, request, prompt_tokens, total_tokens);
+                self.send_home(0.1, 3_000, HomeRequest::Reserve(reserve.clone()));
+                let attempt = Attempt { reserve, hold: None, boot_id: 0, start_ms, started: false };
                 self.attempts.insert(request, attempt);
-                self.send(0.1, 3_000, Message::Reserve { entry, request, home, sent_ms: now_ms });
             }
             if (now_ms / TICK_MS + entry as u64) % (500 / TICK_MS) == 0 {
-                let ids: Vec<ReservationId> =
-                    self.held(entry).iter().map(|id| reservation_id(*id, TARGET)).collect();
-                self.send(0.25, 3_000, Message::Extend { entry, ids, home, sent_ms: now_ms });
+                let (node, incarnation) = (NodeId(entry as u32), Incarnation(entry as u64));
+                let held = self.held(node);
+                let reservations = held.iter().map(|id| reservation_id(*id, TARGET)).collect();
+                let extend = HomeRequest::Extend { node, incarnation, reservations };
+                self.send_home(0.25, 3_000, extend);
             }
         }
         let mut ready = Vec::new();
@@ -209,10 +199,9 @@
             let may_start = hold.is_some_and(|hold| hold.may_start(now_ms));
             if may_start && !attempt.started && now_ms >= attempt.start_ms {
                 attempt.started = true;
-                let (prompt_tokens, total_tokens) = (attempt.prompt_tokens, attempt.total_tokens);
-                let (request, boot_id) = (*request, attempt.boot_id);
-                let start = Message::Start { request, boot_id, prompt_tokens, total_tokens };
-                ready.push((request, start));
+                let (reserve, reserved_boot) = (attempt.reserve.clone(), attempt.boot_id);
+                let stream = Stream { reserve, reserved_boot, since_ms: 0, end_ms: 0 };
+                ready.push((*request, Message::Start { request: *request, stream }));
             }
         }
         for (request, start) in ready {
@@ -247,9 +236,9 @@
             announcement.load = LoadReport {
                 running: self.streams.len() as u32,
                 waiting: 0,
-                used_tokens: self.streams.values().map(|stream| stream.prompt_tokens).sum(),
+                used_tokens: self.streams.values().map(|it| it.reserve.prompt_tokens).sum(),
             };
-            self.send(0.2, 2_500, Message::Announce { home, announcement });
+            self.send_home(0.2, 2_500, HomeRequest::Announce(announcement));
         }
         if now_ms % 1_000 == 500 {
             self.send(0.2, 500, Message::List { home, requested_ms: now_ms });
@@ -267,7 +256,7 @@
             first_token_ms: None,
         };
         if attempt.hold.is_some() {
-            self.send(0.2, 3_000, Message::Release { home: self.home, release });
+            self.send_home(0.2, 3_000, HomeRequest::Release(release));
         }
     }
 
@@ -275,25 +264,8 @@
         let now_ms = self.now_ms;
         while let Some(due) = self.messages.first_entry().filter(|due| due.key().0 <= now_ms) {
             match due.remove() {
-                Message::Reserve { entry, request, home, sent_ms } if home == self.home => {
-                    let Some(attempt) = self.attempts.get(&request) else { continue };
-                    let reserve = common::reserve(
-                        TARGET,
-                        request,
-                        attempt.prompt_tokens,
-                        attempt.total_tokens,
-                    );
-                    let held = attempt.hold.is_some();
-                    let before = self.ledgers[home].counts().reservations;
-                    let result = self.ledgers[home].reserve(now_ms, &reserve);
-                    let gained = self.ledgers[home].counts().reservations > before;
-                    if result.is_ok() && gained && !held {
-                        self.granted += 1;
-                        prop_assert!(self.configuration.zone_is_in("a"), "granted in a zone out");
-                    }
-                    if self.alive[entry] {
-                        self.send(0.1, 3_000, Message::Reply { request, sent_ms, result });
-                    }
+                Message::Home { home, sent_ms, request } if home == self.home => {
+                    self.ask_home(sent_ms, request)?;
                 }
                 Message::Reply { request, sent_ms, result } => {
                     let Some(attempt) = self.attempts.get_mut(&request) else { continue };
@@ -309,22 +281,6 @@
                         _ => {}
                     }
                 }
-                Message::Extend { entry, ids, home, sent_ms } if home == self.home => {
-                    let node = NodeId(entry as u32);
-                    let incarnation = Incarnation(entry as u64);
-                    let unknown = self.ledgers[home].extend(now_ms, node, incarnation, &ids);
-                    if unknown.is_empty() {
-                        self.send(0.1, 1_000, Message::Extended { ids, sent_ms });
-                        continue;
-                    }
-                    for request in self.held(entry) {
-                        self.send(
-                            0.2,
-                            3_000,
-                            Message::Reserve { entry, request, home, sent_ms: now_ms },
-                        );
-                    }
-                }
                 Message::Extended { ids, sent_ms } => {
                     for (request, attempt) in &mut self.attempts {
                         if ids.contains(&reservation_id(*request, TARGET)) {
@@ -334,20 +290,11 @@
                         }
                     }
                 }
-                Message::Release { home, release } => self.ledgers[home].release(now_ms, &release),
-                Message::Start { request, boot_id, prompt_tokens, total_tokens } => {
-                    let stream = Stream {
-                        total_tokens,
-                        prompt_tokens,
-                        since_ms: now_ms,
-                        end_ms: now_ms + self.random.random_range(20..2_500),
-                        reserved_boot: boot_id,
-                    };
+                Message::Start { request, mut stream } => {
+                    stream.since_ms = now_ms;
+                    stream.end_ms = now_ms + self.random.random_range(20..2_500);
                     self.streams.insert(request, stream);
                 }
-                Message::Announce { home, announcement } if home == self.home => {
-                    self.ledgers[home].announce(now_ms, announcement);
-                }
                 Message::List { home, requested_ms } => {
                     let items = self
                         .streams
@@ -356,7 +303,7 @@
                             kind: InventoryKind::Stream,
                             id: request.to_string().into(),
                             request: Some(*request),
-                            tokens: stream.total_tokens,
+                            tokens: stream.reserve.total_tokens,
                             age_ms: now_ms - stream.since_ms,
                         })
                         .collect();
@@ -386,18 +333,51 @@
                 Message::Ended { request, outcome } => {
                     self.finish(request, outcome);
                 }
-                Message::Reserve { .. }
-                | Message::Extend { .. }
-                | Message::Announce { .. }
-                | Message::Listed { .. } => {}
+                Message::Home { .. } | Message::Listed { .. } => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn ask_home(&mut self, sent_ms: u64, request: HomeRequest) -> Result<(), TestCaseError> {
+        let now_ms = self.now_ms;
+        let ledger = &mut self.ledgers[self.home];
+        match request {
+            HomeRequest::Announce(announcement) => ledger.announce(now_ms, announcement),
+            HomeRequest::Release(release) => ledger.release(now_ms, &release),
+            HomeRequest::Reserve(reserve) => {
+                let request = reserve.request;
+                let Some(attempt) = self.attempts.get(&request) else { return Ok(()) };
+                let before = ledger.counts().reservations;
+                let result = ledger.reserve(now_ms, &reserve);
+                let gained = ledger.counts().reservations > before;
+                if result.is_ok() && gained && attempt.hold.is_none() {
+                    self.granted += 1;
+                    prop_assert!(self.configuration.zone_is_in("a"), "granted in a zone out");
+                }
+                if self.alive[request.node.0 as usize] {
+                    self.send(0.1, 3_000, Message::Reply { request, sent_ms, result });
+                }
+            }
+            HomeRequest::Extend { node, incarnation, reservations: ids } => {
+                let unknown = ledger.extend(now_ms, node, incarnation, &ids);
+                if unknown.is_empty() {
+                    self.send(0.1, 1_000, Message::Extended { ids, sent_ms });
+                    return Ok(());
+                }
+                for request in self.held(node) {
+                    let reserve = self.attempts[&request].reserve.clone();
+                    self.send_home(0.2, 3_000, HomeRequest::Reserve(reserve));
+                }
             }
+            HomeRequest::Digest(_) => {}
         }
         Ok(())
     }
 
     fn check(&self) -> Result<(), TestCaseError> {
         let now_ms = self.now_ms;
-        let tokens: u64 = self.streams.values().map(|stream| stream.total_tokens).sum();
+        let tokens: u64 = self.streams.values().map(|it| it.reserve.total_tokens).sum();
         prop_assert!(tokens <= MEMORY_TOKENS, "{tokens} tokens at {now_ms} ms");
         prop_assert!(self.streams.len() <= SLOTS as usize, "slots at {now_ms} ms");
         // A limit above the number of successes since the start cannot come from the ramp.
