Saturate sums of token counts and times

Cause: token counts come from requests, and overflow checks would end the thread of an entry for an absurd count. The sums in estimates, placement, admission and the fair queue saturate; such a request is refused as beyond one engine or too late.

--- a/crates/mulberry-policy/src/admission.rs
+++ b/crates/mulberry-policy/src/admission.rs
@@ -110,7 +110,7 @@
         } else {
             self.mean_answer_tokens.min(request.max_answer_tokens as f64) * self.mean_ms_per_token
         };
-        prefill_ms + answer_ms as u64
+        prefill_ms.saturating_add(answer_ms as u64)
     }
 }
 
@@ -119,8 +119,12 @@
     let queue_ms = if request.waiting_tokens == 0 || backlog.tokens_per_s == 0 {
         0
     } else {
-        request.waiting_tokens * 1_000 / backlog.tokens_per_s
+        request.waiting_tokens.saturating_mul(1_000) / backlog.tokens_per_s
     };
     // A plain service has no prefill queue.
-    if request.prompt_tokens == 0 { queue_ms } else { queue_ms + backlog.shortest_queue_ms }
+    if request.prompt_tokens == 0 {
+        queue_ms
+    } else {
+        queue_ms.saturating_add(backlog.shortest_queue_ms)
+    }
 }
--- a/crates/mulberry-policy/src/cost_model.rs
+++ b/crates/mulberry-policy/src/cost_model.rs
@@ -54,7 +54,8 @@
     pub fn estimate_ms(stated_tokens_per_s: u32, tokens_ahead: u64, prompt_tokens: u64) -> u64 {
         let speed =
             if stated_tokens_per_s == 0 { DEFAULT_TOKENS_PER_S } else { stated_tokens_per_s };
-        FIXED_MS + (tokens_ahead + prompt_tokens) * 1_000 / u64::from(speed)
+        let tokens = tokens_ahead.saturating_add(prompt_tokens);
+        FIXED_MS + tokens.saturating_mul(1_000) / u64::from(speed)
     }
 
     /// Expected time to first token behind `tokens_ahead` tokens of other prompts.
--- a/crates/mulberry-policy/src/fair_queue.rs
+++ b/crates/mulberry-policy/src/fair_queue.rs
@@ -188,8 +188,9 @@
         let mut late = Vec::new();
         for workspace in self.workspaces.values_mut() {
             for queue in &mut workspace.by_priority {
-                let is_late =
-                    |queued: &QueuedRequest| now_ms + queued.needed_ms > queued.deadline_ms;
+                let is_late = |queued: &QueuedRequest| {
+                    now_ms.saturating_add(queued.needed_ms) > queued.deadline_ms
+                };
                 if !queue.iter().any(is_late) {
                     continue;
                 }
--- a/crates/mulberry-policy/src/placement.rs
+++ b/crates/mulberry-policy/src/placement.rs
@@ -186,7 +186,7 @@
         configuration: &Configuration,
         policy: PlacementPolicy,
     ) -> Ranking {
-        let total_tokens = request.prompt_tokens + request.max_answer_tokens;
+        let total_tokens = request.prompt_tokens.saturating_add(request.max_answer_tokens);
         let cap = (request.prompt_tokens > LONG_PROMPT_TOKENS)
             .then(|| view.long_prefill_cap(configuration));
         let loads = view.in_flight().loads();
@@ -220,7 +220,8 @@
                 continue;
             }
             let added = loads.of(&target.target);
-            let fits = !is_engine || target.free_tokens >= added.tokens + total_tokens;
+            let fits =
+                !is_engine || target.free_tokens >= added.tokens.saturating_add(total_tokens);
             if !fits || target.free_slots <= added.slots {
                 continue;
             }
@@ -291,7 +292,7 @@
                 }
             }
         }
-        let total_tokens = request.prompt_tokens + request.max_answer_tokens;
+        let total_tokens = request.prompt_tokens.saturating_add(request.max_answer_tokens);
         if request.prompt_tokens == 0 || total_tokens > memory_tokens {
             return Err(SplitRefused::NeverFits);
         }
