Answer a fault before it cuts the connections

Cause: in a trial run the timed action restart_cold was reported as an unexpected end of file, because the target cut the connection that carried it; a failed action could not be told from a successful one. In the same run the entries were not up, nothing was answered, and the runner still exited with status 0.

Ruled out: answering every fault before it is injected, because a request sent right after the answer could then miss the fault.

--- a/crates/mulberry-bench/src/main.rs
+++ b/crates/mulberry-bench/src/main.rs
@@ -5,7 +5,7 @@
 use std::str::FromStr;
 
 use eyre::{Context, bail};
-use mulberry_bench::{Experiment, Report, SmokeTest, compare, plot, run, smoke};
+use mulberry_bench::{Experiment, Outcome, Report, SmokeTest, compare, plot, run, smoke};
 use mulberry_types::load_settings;
 
 /// Addresses with commas between them.
@@ -111,6 +111,10 @@
         std::fs::write(out, serde_json::to_string_pretty(&report)?)
             .wrap_err_with(|| format!("cannot write {}; check --out", out.display()))?;
     }
+    let any_right = report.loads.values().any(|load| load.outcomes.contains_key(&Outcome::Right));
+    if !any_right {
+        bail!("no request was answered rightly, so the run shows nothing; check the entries");
+    }
     Ok(report.violations.is_empty())
 }
 
--- a/crates/standin-engine/src/api.rs
+++ b/crates/standin-engine/src/api.rs
@@ -24,6 +24,9 @@
 /// Answer that refuses a request.
 type Refused = Box<Response>;
 
+/// Time for an answer to be written.
+const ANSWER_PAUSE: Duration = Duration::from_millis(20);
+
 #[derive(Debug, Deserialize)]
 struct CompletionRequest {
     model: Arc<str>,
@@ -64,10 +67,10 @@
         (&Method::GET, ["load"]) => Ok(json_answer(&json!(load(life)))),
         (&Method::GET, ["cache-events"]) => cache_events(life, request),
         (&Method::POST, ["orders"]) => order(life, request, received),
-        (&Method::POST, ["faults"]) => parse::<Fault>(request).map(|fault| {
-            life.inject(&fault);
-            json_answer(&json!({ "accepted": true }))
-        }),
+        (&Method::POST, ["faults"]) => match parse(request) {
+            Ok(fault) => return take_fault(life, &fault, responder),
+            Err(refused) => Err(refused),
+        },
         (&Method::GET, ["health"]) => Ok(health(life)),
         (&Method::GET, ["accounting"]) => Ok(json_answer(&accounting(life))),
         _ => Err(refused(
@@ -79,6 +82,19 @@
     responder.send(result.unwrap_or_else(|refused| *refused));
 }
 
+/// Answers and injects a fault; one that cuts all connections waits until its own answer has been written.
+fn take_fault(life: &Life, fault: &Fault, responder: Responder) {
+    let accepted = json_answer(&json!({ "accepted": true }));
+    if matches!(fault, Fault::Die | Fault::RestartCold { .. }) {
+        responder.send(accepted);
+        std::thread::sleep(ANSWER_PAUSE);
+        life.inject(fault);
+    } else {
+        life.inject(fault);
+        responder.send(accepted);
+    }
+}
+
 fn json_answer(value: &Value) -> Response {
     Response::json(StatusCode::OK, value.to_string())
 }
--- a/crates/standin-engine/tests/engine.rs
+++ b/crates/standin-engine/tests/engine.rs
@@ -338,7 +338,8 @@
     let engine = start(EngineSettings { step_ms: 10, ..settings() });
     let stream = open_stream(engine.address(), "1-1-1", &prompt("die", 500));
     wait_until("the start of the stream", || engine.accounting()["concurrent"] == 1);
-    engine.inject(&Fault::Die);
+    // The answer to the fault itself must arrive, so that an experiment knows that it took effect.
+    assert_eq!(post(engine.address(), "/faults", &[], &json!("die")).unwrap().0, 200);
     let (events, ended) = read_events(stream);
     assert!(!ended && events.iter().all(|event| event != "[DONE]"));
     wait_until("the death", || engine.is_dead());
--- a/crates/standin-service/src/calls.rs
+++ b/crates/standin-service/src/calls.rs
@@ -137,7 +137,7 @@
         self.wait_while_frozen();
         match (&request.method, request.path()) {
             (&Method::GET, "/accounting") => responder.send(answer(&self.accounting())),
-            (&Method::POST, "/faults") => responder.send(self.take_fault(request)),
+            (&Method::POST, "/faults") => self.take_fault(request, responder),
             _ => self.call(request, responder),
         }
     }
@@ -267,18 +267,25 @@
         let _ = writer.write(text[..text.len() / 2].to_owned());
     }
 
-    fn take_fault(&self, request: &Request) -> Response {
-        match serde_json::from_slice(&request.body) {
-            Ok(fault) => {
-                self.inject(fault);
-                answer(&json!({ "accepted": true }))
+    /// Answers and injects a fault; one that cuts all connections waits until its own answer has been written.
+    fn take_fault(&self, request: &Request, responder: Responder) {
+        let fault = match serde_json::from_slice(&request.body) {
+            Ok(fault) => fault,
+            Err(error) => {
+                let message = format!("the body is no fault: {error}");
+                let status = StatusCode::BAD_REQUEST;
+                let code = "invalid_request";
+                return responder.send(Response::error(status, code, "not_run", &message));
             }
-            Err(error) => Response::error(
-                StatusCode::BAD_REQUEST,
-                "invalid_request",
-                "not_run",
-                &format!("the body is no fault: {error}"),
-            ),
+        };
+        let accepted = answer(&json!({ "accepted": true }));
+        if matches!(fault, Fault::Die | Fault::RestartCold { .. }) {
+            responder.send(accepted);
+            std::thread::sleep(POLL);
+            self.inject(fault);
+        } else {
+            self.inject(fault);
+            responder.send(accepted);
         }
     }
 
