mulberry-bench: follow at-most-once calls without a key

Cause: a call that must not be repeated may come without an Idempotency-Key, and then neither a second run nor a false "not run" was noticed, because the accounting was matched by key.

Ruled out: matching by X-Request-Id, because callers do not learn it when a call fails; by the whole path, because it depends on whether an entry stands between. The query is unique to each call and its copy, and passes through.

Before: a call without a key was not followed. The default experiment sends some calls without a key.

--- a/crates/mulberry-bench/src/accounting.rs
+++ b/crates/mulberry-bench/src/accounting.rs
@@ -38,17 +38,17 @@
     pub engine_refusals: u64,
     pub over_memory_attempts: u64,
 
-    /// Keys of calls that ran more than once.
+    /// Queries of at-most-once calls that ran more than once.
     pub doubled_calls: Vec<String>,
 
-    /// Keys of calls that ran although every answer said "not run".
+    /// Queries of calls that ran although every answer said "not run".
     pub false_not_run: Vec<String>,
 
-    /// Keys of calls that never ran although an answer said that they had.
+    /// Queries of calls that never ran although an answer said that they had.
     pub missing_calls: Vec<String>,
 }
 
-/// Reads the accounting. `calls` holds the outcomes of each idempotency key.
+/// Reads the accounting. `calls` holds the outcomes of each at-most-once call by its query.
 pub(crate) fn collect(
     engines: &[SocketAddr],
     services: &[SocketAddr],
@@ -80,21 +80,23 @@
             accounting.unreachable.push(*service);
             continue;
         };
-        for (key, count) in counts(&report["runs_by_key"]) {
-            *runs.entry(key.clone()).or_default() += count;
+        for (path, count) in counts(&report["runs_by_path"]) {
+            // The path may carry a prefix that names the service; the query is unique by itself.
+            let query = path.split_once('?').map_or("", |(_, query)| query);
+            *runs.entry(query.to_owned()).or_default() += count;
         }
     }
-    for (key, outcomes) in calls {
-        let ran = runs.get(key).copied().unwrap_or_default();
+    for (query, outcomes) in calls {
+        let ran = runs.get(query).copied().unwrap_or_default();
         if ran > 1 {
-            accounting.doubled_calls.push(key.clone());
+            accounting.doubled_calls.push(query.clone());
         }
         if ran > 0 && outcomes.iter().all(|outcome| outcome.is_not_run()) {
-            accounting.false_not_run.push(key.clone());
+            accounting.false_not_run.push(query.clone());
         }
         let answered = outcomes.contains(&Outcome::Right);
         if ran == 0 && answered && !missing_service && !services.is_empty() {
-            accounting.missing_calls.push(key.clone());
+            accounting.missing_calls.push(query.clone());
         }
     }
     accounting
--- a/crates/mulberry-bench/src/experiment.rs
+++ b/crates/mulberry-bench/src/experiment.rs
@@ -124,10 +124,13 @@
 
     pub deadline_ms: u64,
 
-    /// Whether each call carries an `Idempotency-Key` and must run at most once.
+    /// Whether each call must run at most once.
     pub at_most_once: bool,
 
-    /// Share of the calls that are sent again through another entry at nearly the same time.
+    /// Whether each call carries an `Idempotency-Key`.
+    pub with_key: bool,
+
+    /// Share of the calls with a key that are sent again through another entry at nearly the same time.
     pub resend_share: f64,
 
     /// Workspace that sends all of them; without it the workspaces share by weight.
@@ -173,12 +176,18 @@
         ];
         let calls = vec![
             CallLoad::default(),
+            CallLoad {
+                name: "book_without_key".into(),
+                rate_per_s: 0.5,
+                with_key: false,
+                ..CallLoad::default()
+            },
             CallLoad {
                 name: "look_up".into(),
                 method: "GET".into(),
                 path: "/seats".into(),
                 at_most_once: false,
-                resend_share: 0.0,
+                with_key: false,
                 ..CallLoad::default()
             },
         ];
@@ -231,6 +240,7 @@
             body_bytes: [20, 400],
             deadline_ms: 10_000,
             at_most_once: true,
+            with_key: true,
             resend_share: 0.2,
             workspace: None,
         }
--- a/crates/mulberry-bench/src/plan.rs
+++ b/crates/mulberry-bench/src/plan.rs
@@ -145,5 +145,5 @@
 }
 
 fn is_resent(random: &mut ChaCha8Rng, load: &CallLoad) -> bool {
-    load.at_most_once && random.random::<f64>() < load.resend_share
+    load.with_key && random.random::<f64>() < load.resend_share
 }
--- a/crates/mulberry-bench/src/report.rs
+++ b/crates/mulberry-bench/src/report.rs
@@ -102,7 +102,9 @@
     pub(crate) load: String,
 
     pub(crate) length_class: Option<LengthClass>,
-    pub(crate) idempotency_key: Option<String>,
+
+    /// Query of a call that must run at most once.
+    pub(crate) at_most_once: Option<String>,
 
     /// Time of sending after the start, warm-up included.
     pub(crate) at: Duration,
@@ -120,7 +122,7 @@
     seconds: BTreeMap<u64, GatheredSecond>,
     violations: BTreeMap<String, u64>,
 
-    /// Outcomes of each idempotency key, warm-up included.
+    /// Outcomes of each call that must run at most once by its query, warm-up included.
     pub(crate) calls: HashMap<String, Vec<Outcome>>,
 }
 
@@ -186,10 +188,10 @@
     }
 
     pub(crate) fn add(&mut self, ended: Ended) {
-        let Ended { load, length_class, idempotency_key, at, sent } = ended;
+        let Ended { load, length_class, at_most_once, at, sent } = ended;
         let outcome = sent.outcome;
-        if let Some(key) = idempotency_key {
-            self.calls.entry(key).or_default().push(outcome);
+        if let Some(query) = at_most_once {
+            self.calls.entry(query).or_default().push(outcome);
         }
         if outcome.is_violation() {
             *self.violations.entry(outcome.name().to_owned()).or_default() += 1;
--- a/crates/mulberry-bench/src/runner.rs
+++ b/crates/mulberry-bench/src/runner.rs
@@ -194,8 +194,10 @@
                 let call = Call {
                     method: load.method.clone(),
                     path: format!(
-                        "/services/{}{}?call={:x}-{index}-{number}",
-                        load.service, load.path, self.nonce
+                        "/services/{}{}?{}",
+                        load.service,
+                        load.path,
+                        self.call_query(index, number)
                     ),
                     body: if has_body { prompt.text() } else { String::new() },
                     idempotency_key: self.idempotency_key(planned),
@@ -206,9 +208,14 @@
         }
     }
 
+    /// Query of a call. No other call of this or another run has it.
+    fn call_query(&self, load: usize, number: u64) -> String {
+        format!("call={:x}-{load}-{number}", self.nonce)
+    }
+
     fn idempotency_key(&self, planned: &Planned) -> Option<String> {
         match planned.kind {
-            PlannedKind::Call { load, number, .. } if self.experiment.calls[load].at_most_once => {
+            PlannedKind::Call { load, number, .. } if self.experiment.calls[load].with_key => {
                 Some(format!("bench-{:x}-{load}-{number}", self.nonce))
             }
             _ => None,
@@ -241,16 +248,19 @@
     }
 
     fn ended(&self, planned: &Planned, at: Duration, sent: Sent) -> Ended {
-        let (load, length_class) = match planned.kind {
-            PlannedKind::Completion { load, prompt, .. } => (
-                self.experiment.completions[load].name.to_string(),
-                Some(LengthClass::of(prompt.tokens)),
-            ),
-            PlannedKind::Call { load, is_resend, .. } => {
-                let name = &self.experiment.calls[load].name;
-                (if is_resend { format!("{name}_resent") } else { name.to_string() }, None)
+        match planned.kind {
+            PlannedKind::Completion { load, prompt, .. } => {
+                let load = self.experiment.completions[load].name.to_string();
+                let length_class = Some(LengthClass::of(prompt.tokens));
+                Ended { load, length_class, at_most_once: None, at, sent }
             }
-        };
-        Ended { load, length_class, idempotency_key: self.idempotency_key(planned), at, sent }
+            PlannedKind::Call { load: index, number, is_resend, .. } => {
+                let call = &self.experiment.calls[index];
+                let suffix = if is_resend { "_resent" } else { "" };
+                let load = format!("{}{suffix}", call.name);
+                let at_most_once = call.at_most_once.then(|| self.call_query(index, number));
+                Ended { load, length_class: None, at_most_once, at, sent }
+            }
+        }
     }
 }
--- a/crates/mulberry-bench/tests/checker.rs
+++ b/crates/mulberry-bench/tests/checker.rs
@@ -3,7 +3,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::io::Write;
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
@@ -256,6 +256,42 @@
     assert!(report.accounting.missing_calls.is_empty());
 }
 
+/// A refusal that says "not run" must be compared with what ran, with and without a key.
+#[test]
+fn false_not_run_is_detected() {
+    let (engine, service) = (engine(), service());
+    let address = service.address();
+    let refusing = TcpListener::bind("127.0.0.1:0").unwrap();
+    let entry = refusing.local_addr().unwrap();
+    // Forwards each call and then claims that it did not run.
+    std::thread::spawn(move || {
+        for stream in refusing.incoming().map_while(Result::ok) {
+            let (mut reader, mut line) = (BufReader::new(stream), String::new());
+            reader.read_line(&mut line).unwrap();
+            let path = line.split(' ').nth(1).unwrap().replace("/services/bookings", "");
+            let url = format!("http://{address}{path}");
+            attohttpc::post(url).send().unwrap();
+            let body = r#"{"error":{"code":"no_target","outcome":"not_run"}}"#;
+            let head = "HTTP/1.1 503 x\r\nRetry-After: 1\r\nConnection: close";
+            let length = body.len();
+            write!(reader.get_mut(), "{head}\r\nContent-Length: {length}\r\n\r\n{body}").unwrap();
+            let _ = std::io::copy(&mut reader, &mut std::io::sink());
+        }
+    });
+    let mut experiment = experiment(engine.address(), address);
+    experiment.entries = vec![Entry { address: entry, platform: None }];
+    experiment.completions.clear();
+    let load = CallLoad { rate_per_s: 5.0, resend_share: 0.0, ..CallLoad::default() };
+    let without_key = CallLoad { name: "book_without_key".into(), with_key: false, ..load.clone() };
+    experiment.calls = vec![load, without_key];
+    let report = run(&experiment).unwrap();
+    let refused: u64 =
+        report.loads.values().map(|load| load.outcomes[&Outcome::Refused]).sum::<u64>()
+            + report.warm_up_outcomes.get(&Outcome::Refused).copied().unwrap_or_default();
+    assert!(refused > 4);
+    assert_eq!(report.violations["false_not_run"], refused, "{}", report.table());
+}
+
 /// One wrong answer among many right ones must fail the smoke test.
 #[test]
 fn smoke_test_fails_on_one_wrong_answer() {
--- a/crates/standin-service/src/calls.rs
+++ b/crates/standin-service/src/calls.rs
@@ -91,6 +91,9 @@
     /// Side effects by `Idempotency-Key`.
     runs_by_key: HashMap<String, u32>,
 
+    /// Side effects by path with query, for calls that have neither a key nor a known id.
+    runs_by_path: HashMap<String, u32>,
+
     /// Side effects by `X-Request-Id`.
     runs_by_request: HashMap<String, u32>,
 
@@ -218,6 +221,7 @@
         }
         let counts = &mut state.counts;
         counts.effects += 1;
+        *counts.runs_by_path.entry(path_and_query(request).to_owned()).or_default() += 1;
         if let Some(key) = request.header("idempotency-key") {
             *counts.runs_by_key.entry(key.to_owned()).or_default() += 1;
         }
@@ -246,7 +250,7 @@
         let echo = json!({
             "target": self.settings.target,
             "method": request.method.as_str(),
-            "path": request.uri.path_and_query().map_or("/", |path| path.as_str()),
+            "path": path_and_query(request),
             "headers": headers,
             "body_length": request.body.len(),
             "body_sha256": body_sha256(&request.body),
@@ -374,6 +378,10 @@
     }
 }
 
+fn path_and_query(request: &Request) -> &str {
+    request.uri.path_and_query().map_or("/", |path| path.as_str())
+}
+
 fn answer(value: &Value) -> Response {
     Response::json(StatusCode::OK, value.to_string())
 }
--- a/crates/standin-service/tests/service.rs
+++ b/crates/standin-service/tests/service.rs
@@ -61,6 +61,7 @@
     call(&service, "k", "seat").unwrap();
     assert_eq!(service.accounting()["runs_by_key"]["k"], 2);
     assert_eq!(service.accounting()["runs_by_request"]["id-k"], 2);
+    assert_eq!(service.accounting()["runs_by_path"]["/seats/7?row=3"], 2);
 }
 
 /// A call that died before its side effect must not be counted, one that died after it must be.
