--- a/crates/standin-service/src/calls.rs
+++ b/crates/standin-service/src/calls.rs
@@ -91,6 +91,9 @@
     /// Side effects by `Idempotency-Key`.
     runs_by_key: HashMap<String, u32>,
 
+    /// Side effects by path with query, for calls that have neither a key nor a known id.
+    runs_by_path: HashMap<String, u32>,
+
     /// Side effects by `X-Request-Id`.
     runs_by_request: HashMap<String, u32>,
 
@@ -137,7 +140,7 @@
         self.wait_while_frozen();
         match (&request.method, request.path()) {
             (&Method::GET, "/accounting") => responder.send(answer(&self.accounting())),
-            (&Method::POST, "/faults") => responder.send(self.take_fault(request)),
+            (&Method::POST, "/faults") => self.take_fault(request, responder),
             _ => self.call(request, responder),
         }
     }
@@ -218,6 +221,7 @@
         }
         let counts = &mut state.counts;
         counts.effects += 1;
+        *counts.runs_by_path.entry(path_and_query(request).to_owned()).or_default() += 1;
         if let Some(key) = request.header("idempotency-key") {
             *counts.runs_by_key.entry(key.to_owned()).or_default() += 1;
         }
@@ -246,7 +250,7 @@
         let echo = json!({
             "target": self.settings.target,
             "method": request.method.as_str(),
-            "path": request.uri.path_and_query().map_or("/", |path| path.as_str()),
+            "path": path_and_query(request),
             "headers": headers,
             "body_length": request.body.len(),
             "body_sha256": body_sha256(&request.body),
@@ -267,18 +271,25 @@
         let _ = writer.write(text[..text.len() / 2].to_owned());
     }
 
-    fn take_fault(&self, request: &Request) -> Response {
-        match serde_json::from_slice(&request.body) {
-            Ok(fault) => {
-                self.inject(fault);
-                answer(&json!({ "accepted": true }))
+    /// Answers and injects a fault; one that cuts all connections waits until its own answer has been written.
+    fn take_fault(&self, request: &Request, responder: Responder) {
+        let fault = match serde_json::from_slice(&request.body) {
+            Ok(fault) => fault,
+            Err(error) => {
+                let message = format!("the body is no fault: {error}");
+                let status = StatusCode::BAD_REQUEST;
+                let code = "invalid_request";
+                return responder.send(Response::error(status, code, "not_run", &message));
             }
-            Err(error) => Response::error(
-                StatusCode::BAD_REQUEST,
-                "invalid_request",
-                "not_run",
-                &format!("the body is no fault: {error}"),
-            ),
+        };
+        let accepted = answer(&json!({ "accepted": true }));
+        if matches!(fault, Fault::Die | Fault::RestartCold { .. }) {
+            responder.send(accepted);
+            std::thread::sleep(POLL);
+            self.inject(fault);
+        } else {
+            self.inject(fault);
+            responder.send(accepted);
         }
     }
 
@@ -367,6 +378,10 @@
     }
 }
 
+fn path_and_query(request: &Request) -> &str {
+    request.uri.path_and_query().map_or("/", |path| path.as_str())
+}
+
 fn answer(value: &Value) -> Response {
     Response::json(StatusCode::OK, value.to_string())
 }
