mulberry-control: test the metrics and follow the disk trait

Cause: no test read the platform endpoints, and mulberry-log has removed truncate from its disk trait, so the test disk did not compile.

--- a/crates/mulberry-control/tests/disk.rs
+++ b/crates/mulberry-control/tests/disk.rs
@@ -55,10 +55,6 @@
         self.inner.append(name, data)
     }
 
-    fn truncate(&mut self, name: &str, bytes: u64) -> io::Result<()> {
-        self.inner.truncate(name, bytes)
-    }
-
     fn sync(&mut self, name: &str) -> io::Result<()> {
         self.inner.sync(name)
     }
--- a/crates/mulberry-control/tests/processes.rs
+++ b/crates/mulberry-control/tests/processes.rs
@@ -5,6 +5,8 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -153,18 +155,34 @@
     assert_eq!(client.configuration().unwrap().version.0, audited.len() as u64);
 }
 
-/// Guards against a stop by SIGTERM that fails, against settings that only the library checks, and
-/// against a fault endpoint that does not reach the links.
+/// Guards against a stop by SIGTERM that fails, against missing metrics, and against a fault endpoint
+/// that does not reach the links.
 #[test]
 fn a_process_stops_on_sigterm_and_its_links_can_be_cut() {
     let mut processes = Processes::start("term");
     let leader = processes.leader();
+    let platform = processes.group.settings[leader].platform_address;
+    wait_for("readiness", || {
+        http(platform, "GET", "/readyz").starts_with("HTTP/1.1 200").then_some(())
+    });
+    let metrics = http(platform, "GET", "/metrics");
+    for line in [
+        "mulberry_control_role 3",
+        "mulberry_control_syncs_total",
+        "mulberry_control_sync_seconds_bucket",
+        "mulberry_control_peer_bytes_in_total",
+        "mulberry_control_peer_frames_rejected_total{reason=\"wrong_mac\"} 0",
+        "mulberry_control_leader_contact_age_ms 0",
+    ] {
+        assert!(metrics.contains(line), "{line} is missing in {metrics}");
+    }
     let faults = processes.group.settings[leader].test_faults_address;
     let set_faults = |fault: &str| {
         for settings in &processes.group.settings {
             let peer = settings.peer_address;
             let query = format!("/faults?peer={peer}&direction=both&fault={fault}");
-            http_post(faults, &query);
+            let answer = http(faults, "POST", &query);
+            assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
         }
     };
     set_faults("drop");
@@ -202,14 +220,13 @@
     assert!(message.contains("peers: lacks peer_address"), "{message}");
 }
 
-fn http_post(address: std::net::SocketAddr, path: &str) {
-    use std::io::{Read as _, Write as _};
-    let mut socket = std::net::TcpStream::connect(address).unwrap();
+fn http(address: SocketAddr, method: &str, path: &str) -> String {
+    let mut socket = TcpStream::connect(address).unwrap();
     let request = format!(
-        "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+        "{method} {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
     );
     socket.write_all(request.as_bytes()).unwrap();
     let mut answer = String::new();
     socket.read_to_string(&mut answer).unwrap();
-    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    answer
 }
