mulberry-control: stop replicas that share one identity

Cause: a copied data folder gives two instances the same member id, and both could vote in one term. A hello with the own id now stops the instance like a failed disk, until an operator has removed one of them.

Ruled out: stopping only the instance that notices first. The one that is left may be the one that lacks acknowledged entries. A single hello in reply was tried first and was lost while the link still waited after failed connects, so the other went on; a stopped replica now keeps sending its hello.

A test with a frozen link to one follower shows that 300 changes are accepted meanwhile and that the follower catches up.

--- a/crates/mulberry-control/src/lib.rs
+++ b/crates/mulberry-control/src/lib.rs
@@ -23,7 +23,7 @@
 pub use control_metrics::ControlMetrics;
 pub use control_settings::ControlSettings;
 pub use lease_table::{EXPIRY_MS, LEASE_MS, LeaseTable, SettledEpochs};
-pub use peer_directory::PeerDirectory;
+pub use peer_directory::{HelloEffect, PeerDirectory};
 pub use peer_link::PeerLink;
 pub use replica_input::{MembersChange, OperatorCallError};
 pub use replica_status::ReplicaStatus;
--- a/crates/mulberry-control/src/peer_directory.rs
+++ b/crates/mulberry-control/src/peer_directory.rs
@@ -22,6 +22,19 @@
     peers: BTreeMap<SocketAddr, Option<ReplicaHello>>,
 }
 
+/// What a hello tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HelloEffect {
+    New,
+    Known,
+
+    /// The address is not in the settings, or is this instance's own.
+    Foreign,
+
+    /// Another instance has the id of this one: the data folder was copied.
+    OwnIdentity,
+}
+
 impl PeerDirectory {
     pub fn new(
         own_id: MemberId,
@@ -34,16 +47,19 @@
         PeerDirectory { own_id, own_address, own_operator_address, peers }
     }
 
-    /// Records a hello. Returns whether it tells anything new; `None` for an address that is not in the
-    /// settings or is this instance's own.
-    pub fn record(&mut self, hello: ReplicaHello) -> Option<bool> {
+    /// Records a hello.
+    pub fn record(&mut self, hello: ReplicaHello) -> HelloEffect {
+        if hello.address == self.own_address {
+            return HelloEffect::Foreign;
+        }
         if hello.member == self.own_id.0 {
-            return None;
+            return HelloEffect::OwnIdentity;
         }
-        let known = self.peers.get_mut(&hello.address)?;
-        let is_new = known.as_ref() != Some(&hello);
+        let Some(known) = self.peers.get_mut(&hello.address) else { return HelloEffect::Foreign };
+        let effect =
+            if known.as_ref() == Some(&hello) { HelloEffect::Known } else { HelloEffect::New };
         *known = Some(hello);
-        Some(is_new)
+        effect
     }
 
     /// Address of a member, if it has introduced itself.
--- a/crates/mulberry-control/src/replica.rs
+++ b/crates/mulberry-control/src/replica.rs
@@ -30,7 +30,7 @@
 use crate::entry_connections::EntryConnections;
 use crate::replica_input::{Input, OperatorCallError, OperatorReply};
 use crate::replica_status::{ReplicaStatus, SharedStatus};
-use crate::{ControlMetrics, PeerDirectory, PeerLink};
+use crate::{ControlMetrics, HelloEffect, PeerDirectory, PeerLink};
 
 /// Inputs of one round; more would delay heartbeats.
 const MAX_ROUND_INPUTS: usize = 1_024;
@@ -186,10 +186,12 @@
             if self.is_aborted.load(Ordering::Acquire) {
                 return;
             }
-            if self.failure.is_none() {
-                if let Err(error) = self.advance() {
-                    self.fail(&error);
-                }
+            if self.failure.is_some() {
+                // So that another replica with the same identity learns of it and stops as well.
+                self.send_hello(self.now_ms());
+            } else if let Err(error) = self.advance() {
+                self.metrics.disk_failed.set(1);
+                self.fail("disk_failed", error.to_string());
             }
             self.publish();
             if self.is_stopped() {
@@ -243,18 +245,27 @@
         let address = hello.address;
         let member = MemberId(hello.member);
         match self.directory.record(hello) {
-            Some(true) => {
+            HelloEffect::New => {
                 tracing::info!(event = "peer_known", %member, %address);
                 self.hello_due_ms = 0;
             }
-            Some(false) => {}
-            None => {
+            HelloEffect::Known => {}
+            HelloEffect::Foreign => {
                 tracing::warn!(
                     event = "peer_not_in_settings",
                     %member,
                     %address,
-                    remedy = "list its address in peers and give it a data folder of its own"
+                    remedy = "list its address in peers of this instance"
+                );
+            }
+            // Two replicas with one identity could vote twice in a term. The other one must stop too:
+            // either can be the one that lacks acknowledged entries.
+            HelloEffect::OwnIdentity => {
+                let reason = format!(
+                    "the instance at {address} has the member id of this one; stop one of them and start it with \
+                     an empty data folder"
                 );
+                self.fail("duplicate_identity", reason);
             }
         }
     }
@@ -348,17 +359,22 @@
         let has_group = self.has_group();
         let is_settled = has_group && self.directory.is_complete();
         self.hello_due_ms = now_ms + if is_settled { HELLO_MS } else { FIRST_HELLO_MS };
+        let hello = self.hello();
+        for link in self.links.values_mut() {
+            link.send(ControlPortRequest::Hello(hello.clone()));
+        }
+    }
+
+    fn hello(&self) -> ReplicaHello {
+        let has_group = self.has_group();
         let known_members =
             if has_group { self.first_members.clone() } else { self.directory.first_members() };
-        let hello = ReplicaHello {
+        ReplicaHello {
             member: self.raft.id().0,
             address: self.own_address,
             operator_address: self.operator_address,
             has_group,
             known_members,
-        };
-        for link in self.links.values_mut() {
-            link.send(ControlPortRequest::Hello(hello.clone()));
         }
     }
 
@@ -386,12 +402,13 @@
     }
 
     /// Stops acknowledging anything until the instance is started again.
-    fn fail(&mut self, error: &LogError) {
-        let reason = error.to_string();
-        tracing::error!(event = "disk_failed", error = %reason);
-        self.metrics.disk_failed.set(1);
+    fn fail(&mut self, cause: &'static str, reason: String) {
+        if self.failure.is_some() {
+            return;
+        }
+        tracing::error!(event = "replica_failed", cause, reason);
         self.failure = Some(reason);
-        self.lose_leadership("disk_failed");
+        self.lose_leadership(cause);
         self.health.set_ready(false);
         self.status_due_ms = 0;
     }
--- a/crates/mulberry-control/tests/group.rs
+++ b/crates/mulberry-control/tests/group.rs
@@ -9,6 +9,7 @@
 use mulberry_operators::{
     MemberChange, OperatorBackend, OperatorClient, OperatorError, ReplicaId, ReplicaRole,
 };
+use mulberry_peers::{FaultDirection, LinkFault};
 use mulberry_types::{
     ChangeOutcome, ClaimKey, ClaimReply, ConfigurationVersion, ControlReply, ControlRequest,
     Incarnation, NodeId, RejectReason, RequestId, StoredAnswer,
@@ -298,3 +299,48 @@
     assert_eq!(stranger.configuration().unwrap_err(), OperatorError::Unauthorized);
     group.instances.clear();
 }
+
+/// Guards against a leader that waits for a peer whose link takes nothing, and against a link that does
+/// not recover.
+#[test]
+fn a_frozen_link_does_not_hold_up_the_group() {
+    let group = Group::start("frozen", 3);
+    let leader = group.wait_for_leader();
+    let slow = (leader + 1) % 3;
+    let slow_address = group.settings[slow].peer_address;
+    let faults = group.instance(leader).faults();
+    faults.set(slow_address, FaultDirection::ToPeer, Some(LinkFault::Freeze));
+    let mut version = ConfigurationVersion(0);
+    for number in 0..300 {
+        version = group.set_zone("frozen", &format!("zone-{number}"));
+    }
+    group.instances.iter().flatten().for_each(|instance| instance.faults().clear());
+    wait_for("the slow replica to catch up", || {
+        let status = group.instance(slow).handle().status();
+        (status.version == version).then_some(())
+    });
+}
+
+/// Guards against two replicas with one identity, which could vote twice in a term.
+#[test]
+fn a_copied_data_folder_stops_both_replicas() {
+    let mut group = Group::start("copied", 3);
+    group.set_zone("c", "a");
+    let (copied, original) = (0, 1);
+    group.abort(copied);
+    group.wipe(copied);
+    let folders: Vec<_> = group.settings.iter().map(|settings| &settings.data_folder).collect();
+    std::fs::create_dir(folders[copied]).unwrap();
+    for file in std::fs::read_dir(folders[original]).unwrap() {
+        let file = file.unwrap();
+        std::fs::copy(file.path(), folders[copied].join(file.file_name())).unwrap();
+    }
+    group.start_one(copied);
+    // Either of them can lack acknowledged entries, so both stop.
+    for index in [copied, original] {
+        let status = || group.instance(index).handle().status();
+        let failure = wait_for("the failure of both", || status().failure);
+        assert!(failure.contains("has the member id of this one"), "{failure}");
+        assert!(!group.instance(index).health().is_ready());
+    }
+}
--- a/crates/mulberry-control/tests/peer_directory.rs
+++ b/crates/mulberry-control/tests/peer_directory.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use mulberry_consensus::MemberId;
-use mulberry_control::PeerDirectory;
+use mulberry_control::{HelloEffect, PeerDirectory};
 use mulberry_types::ReplicaHello;
 
 fn address(port: u16) -> SocketAddr {
@@ -68,14 +68,14 @@
 #[test]
 fn a_new_identity_replaces_the_former_one_at_its_address() {
     let mut directory = directory();
-    assert_eq!(directory.record(hello(12, 2, true, &[])), Some(true));
-    assert_eq!(directory.record(hello(12, 2, true, &[])), Some(false));
+    assert_eq!(directory.record(hello(12, 2, true, &[])), HelloEffect::New);
+    assert_eq!(directory.record(hello(12, 2, true, &[])), HelloEffect::Known);
     assert_eq!(directory.address_of(MemberId(12)), Some(address(2)));
     assert_eq!(directory.operator_address_of(MemberId(12)), Some(address(102)));
-    assert_eq!(directory.record(hello(99, 2, false, &[])), Some(true));
+    assert_eq!(directory.record(hello(99, 2, false, &[])), HelloEffect::New);
     assert_eq!(directory.address_of(MemberId(12)), None);
     assert_eq!(directory.address_of(MemberId(99)), Some(address(2)));
-    assert_eq!(directory.record(hello(55, 9, false, &[])), None);
+    assert_eq!(directory.record(hello(55, 9, false, &[])), HelloEffect::Foreign);
     // A copy of this instance's own folder.
-    assert_eq!(directory.record(hello(11, 2, false, &[])), None);
+    assert_eq!(directory.record(hello(11, 2, false, &[])), HelloEffect::OwnIdentity);
 }
