--- a/crates/mulberry-control/src/control_settings.rs
+++ b/crates/mulberry-control/src/control_settings.rs
@@ -45,7 +45,8 @@
     pub operators: Vec<OperatorToken>,
 
     /// Least number of log entries between two snapshots; each replica adds up to half of it, so that
-    /// the replicas do not write theirs at the same time.
+    /// the replicas do not write theirs at the same time. A large snapshot is written less often, at
+    /// the latest after 20 times as many entries.
     pub snapshot_entries: u64,
 
     pub log: LogSettings,
--- a/crates/mulberry-control/src/lib.rs
+++ b/crates/mulberry-control/src/lib.rs
@@ -17,6 +17,7 @@
 mod replica;
 mod replica_input;
 mod replica_status;
+mod snapshot_schedule;
 
 pub use control_handle::ControlHandle;
 pub use control_instance::{ControlInstance, StartError};
@@ -27,3 +28,4 @@
 pub use peer_link::PeerLink;
 pub use replica_input::{MembersChange, OperatorCallError};
 pub use replica_status::ReplicaStatus;
+pub use snapshot_schedule::SnapshotSchedule;
--- a/crates/mulberry-control/src/replica.rs
+++ b/crates/mulberry-control/src/replica.rs
@@ -30,7 +30,7 @@
 use crate::entry_connections::EntryConnections;
 use crate::replica_input::{Input, OperatorCallError, OperatorReply};
 use crate::replica_status::{ReplicaStatus, SharedStatus};
-use crate::{ControlMetrics, HelloEffect, PeerDirectory, PeerLink};
+use crate::{ControlMetrics, HelloEffect, PeerDirectory, PeerLink, SnapshotSchedule};
 
 /// Inputs of one round; more would delay heartbeats.
 const MAX_ROUND_INPUTS: usize = 1_024;
@@ -70,7 +70,7 @@
 #[derive(Debug)]
 pub(crate) struct Replica {
     bootstrap: bool,
-    snapshot_entries: u64,
+    snapshots: SnapshotSchedule,
     raft: Raft,
     folder: DataFolder,
     hard_state: HardState,
@@ -144,7 +144,7 @@
             PeerDirectory::new(member, parts.own_address, parts.operator_address, &parts.peers);
         Replica {
             bootstrap: parts.bootstrap,
-            snapshot_entries: staggered(parts.snapshot_entries, member),
+            snapshots: SnapshotSchedule::new(staggered(parts.snapshot_entries, member)),
             raft,
             folder: parts.folder,
             hard_state,
@@ -379,9 +379,8 @@
     }
 
     fn make_snapshot(&mut self) -> Result<(), LogError> {
-        if self.applied_index - self.raft.snapshot_index().min(self.applied_index)
-            < self.snapshot_entries
-        {
+        let entries = self.applied_index.saturating_sub(self.raft.snapshot_index());
+        if !self.snapshots.is_due(entries) {
             return Ok(());
         }
         let begin = Instant::now();
@@ -390,6 +389,7 @@
             return Ok(());
         };
         self.folder.save_snapshot(&snapshot)?;
+        self.snapshots.replaced(snapshot.data.len());
         self.metrics.snapshots.inc();
         tracing::info!(
             event = "snapshot_written",
--- a/crates/mulberry-control/src/replica/apply.rs
+++ b/crates/mulberry-control/src/replica/apply.rs
@@ -31,6 +31,7 @@
             ),
         }
         self.applied_index = snapshot.index;
+        self.snapshots.replaced(snapshot.data.len());
         tracing::info!(
             event = "snapshot_restored",
             index = snapshot.index,
@@ -72,6 +73,7 @@
             // Skipping it on one replica only would let the replicas differ.
             Err(error) => panic!("log entry {index} is no command: {error}; use the newer release"),
         };
+        self.snapshots.applied(bytes.len());
         let before = self.state.membership().clone();
         let reply = self.state.apply(index, &command);
         self.log_outcome(&command, &reply);
--- a/crates/mulberry-control/tests/group.rs
+++ b/crates/mulberry-control/tests/group.rs
@@ -177,7 +177,6 @@
 fn a_wiped_disk_returns_as_a_learner_and_carries_the_group() {
     let mut group = Group::prepare("wiped", 3);
     for settings in &mut group.settings {
-        // So that the new member must be sent a snapshot.
         settings.snapshot_entries = 100;
     }
     (0..3).for_each(|index| group.start_one(index));
@@ -187,9 +186,13 @@
     }
     let wiped = group.wait_for_leader();
     let old_id = group.member_id(wiped);
-    group.abort(wiped);
+    // All restart, so that the others no longer have the entries before their snapshots in memory and
+    // must send the new member a snapshot.
+    (0..3).for_each(|index| group.abort(index));
     group.wipe(wiped);
-    group.start_one(wiped);
+    // Writes none by itself, so that a snapshot of its own does not pass for the leader's.
+    group.settings[wiped].snapshot_entries = 1_000_000;
+    (0..3).for_each(|index| group.start_one(index));
     let new_id = group.member_id(wiped);
     assert_ne!(new_id, old_id);
 
@@ -220,6 +223,7 @@
     assert_eq!(read, version);
     assert_eq!(configuration.zones.len(), 251);
     group.set_zone("after", "after-second-loss");
+    assert!(group.instance(wiped).handle().status().snapshot_index > 0);
     let members = group.instance(leader).handle().status().members;
     assert!(members.is_voter(new_id) && !members.contains(old_id));
 }
