--- a/crates/mulberry-control/src/lib.rs
+++ b/crates/mulberry-control/src/lib.rs
@@ -17,13 +17,15 @@
 mod replica;
 mod replica_input;
 mod replica_status;
+mod snapshot_schedule;
 
 pub use control_handle::ControlHandle;
 pub use control_instance::{ControlInstance, StartError};
 pub use control_metrics::ControlMetrics;
 pub use control_settings::ControlSettings;
 pub use lease_table::{EXPIRY_MS, LEASE_MS, LeaseTable, SettledEpochs};
-pub use peer_directory::PeerDirectory;
+pub use peer_directory::{HelloEffect, PeerDirectory};
 pub use peer_link::PeerLink;
 pub use replica_input::{MembersChange, OperatorCallError};
 pub use replica_status::ReplicaStatus;
+pub use snapshot_schedule::SnapshotSchedule;
