Check that a target takes work again after the faults

The zone is out at first, then the home changes ten times within 30 s, so that no home has the target for the 1.5 s and one list that it needs. Each refusal is right.

The check was about the events and not about the ledger.

--- a/crates/mulberry-policy/tests/ledger_faults.rs
+++ b/crates/mulberry-policy/tests/ledger_faults.rs
@@ -401,14 +401,18 @@
         world.ledgers[home].expire(now_ms);
         world.check()?;
     }
-    // In some cases all entries are down before the target is counted.
-    prop_assert!(world.granted > 0 || world.counter < 100, "nothing was granted");
+    // With many faults, no home may keep the target long enough to count it.
+    prop_assert!(world.granted > 0 || world.rate > 0.3 || world.counter < 100, "no grant");
     // All requests have ended and all that was held has expired.
     let (now_ms, home) = (world.now_ms, world.home);
     let counts = world.ledgers[home].counts();
     prop_assert_eq!((counts.reservations, counts.lingering, counts.unmatched), (0, 0, 0));
     let digest = world.ledgers[home].digest(now_ms);
     prop_assert_eq!(digest.targets[0].free_tokens, MEMORY_TOKENS);
+    // No fault has left the target unusable.
+    let probe = common::reserve(TARGET, common::request(9, 1), 1, 1);
+    let granted = world.ledgers[home].reserve(now_ms, &probe).is_ok();
+    prop_assert_eq!(granted, world.configuration.zone_is_in("a"));
     Ok(())
 }
 
