standin-engine: compute nothing between a death and its effect

Cause: 1 of 20 runs of the runner's tests, with 15 test programs at once on 10 cores, got a whole answer of 334 ms from an engine that had been told to die: steps went on until the listener and the connections were closed, which takes longer on a busy machine.

Ruled out: a longer answer in the test, because an experiment would see the same late death.

--- a/crates/standin-engine/src/life.rs
+++ b/crates/standin-engine/src/life.rs
@@ -34,6 +34,9 @@
     batch: Mutex<Batch>,
     faults: Mutex<PendingFaults>,
     wake: Condvar,
+
+    /// Set at the moment of a death, before its connections are closed, so that nothing is computed in between.
+    is_halted: AtomicBool,
     dead: AtomicBool,
     commands: Sender<Command>,
 }
@@ -58,6 +61,7 @@
             batch: Mutex::new(Batch::new(settings.clone(), boot_id, counts)),
             faults: Mutex::new(PendingFaults::default()),
             wake: Condvar::new(),
+            is_halted: AtomicBool::new(false),
             dead: AtomicBool::new(false),
             commands,
             settings,
@@ -69,14 +73,17 @@
         while let Some(step) = self.next_step() {
             std::thread::sleep(step.duration);
             self.wait_while_frozen();
-            self.batch().apply(&step);
+            let mut batch = self.batch();
+            if !self.is_halted() {
+                batch.apply(&step);
+            }
         }
     }
 
     fn next_step(&self) -> Option<crate::batch::Step> {
         let mut batch = self.batch();
         loop {
-            if self.is_dead() {
+            if self.is_halted() {
                 return None;
             }
             if let Some(step) = batch.plan(Instant::now()) {
@@ -97,8 +104,7 @@
         let cold = &self.settings.cold_start;
         if batch.is_cold() && batch.concurrent() > cold.max_concurrent as usize {
             tracing::warn!(target_id = %self.settings.target, "fell_over");
-            // Without a supervisor the engine is stopping anyway.
-            let _ = self.commands.send(Command::Restart { down_ms: cold.down_ms });
+            self.halt(Command::Restart { down_ms: cold.down_ms });
         }
         drop(batch);
         self.wake.notify_all();
@@ -120,24 +126,30 @@
     pub(crate) fn inject(&self, fault: &Fault) {
         tracing::info!(target_id = %self.settings.target, ?fault, "fault");
         self.faults().note(fault);
-        let command = match *fault {
-            Fault::Slow { factor } => {
-                self.batch().slow_factor = factor.max(0.0);
-                return;
-            }
-            Fault::GoCold { slow_factor } => {
-                self.batch().go_cold(slow_factor.max(0.0));
-                return;
-            }
-            Fault::Die => Command::Die,
-            Fault::RestartCold { down_ms } => Command::Restart { down_ms },
-            Fault::RefuseConnections { ms } => Command::RefuseConnections { ms },
-            _ => return,
-        };
+        match *fault {
+            Fault::Slow { factor } => self.batch().slow_factor = factor.max(0.0),
+            Fault::GoCold { slow_factor } => self.batch().go_cold(slow_factor.max(0.0)),
+            Fault::Die => self.halt(Command::Die),
+            Fault::RestartCold { down_ms } => self.halt(Command::Restart { down_ms }),
+            Fault::RefuseConnections { ms } => self.command(Command::RefuseConnections { ms }),
+            _ => {}
+        }
+    }
+
+    fn halt(&self, command: Command) {
+        self.is_halted.store(true, Ordering::Release);
+        self.command(command);
+    }
+
+    fn command(&self, command: Command) {
         // Without a supervisor the engine is stopping anyway.
         let _ = self.commands.send(command);
     }
 
+    fn is_halted(&self) -> bool {
+        self.is_halted.load(Ordering::Acquire) || self.is_dead()
+    }
+
     pub(crate) fn wait_while_frozen(&self) {
         loop {
             let until = self.faults().frozen_until;
