Give long prompts a lower priority at the engine

Digests lag by up to 250 ms, so an entry sends a short prompt to the idle engine to which another entry has just sent a long one, and equal priorities wait in order of arrival.

Prompts over 16,000 tokens go one step below their workspace's priority, as reservations, completions and segments alike.

The answer of an engine is read whole before it is parsed, since the HTTP client panics when a cut chunked body is read again.

--- a/crates/mulberry-entry/src/acquire.rs
+++ b/crates/mulberry-entry/src/acquire.rs
@@ -6,7 +6,7 @@
 use mulberry_callers::{CallerError, ErrorCode, Outcome};
 use mulberry_policy::{
     Backoff, Candidate, NoCandidateReason, PlacementClass, PlacementRequest, QueuedRequest,
-    Ranking, SplitPlan, SplitRefused,
+    Ranking, SplitPlan, SplitRefused, engine_priority,
 };
 use mulberry_types::{LengthClass, RefuseReason, ReleaseOutcome, Reserve};
 
@@ -139,7 +139,7 @@
         service: job.service.clone(),
         prompt_tokens: ask.prompt_tokens,
         max_answer_tokens: ask.max_answer_tokens,
-        priority: job.priority,
+        priority: engine_priority(job.priority, ask.prompt_tokens),
         prefix_hash: ask.prefix_hash,
         remaining_ms: job.remaining_ms(),
         excluded: ask.excluded.clone(),
@@ -185,7 +185,7 @@
             epoch: entry.lease.membership().epoch,
             prompt_tokens: ask.prompt_tokens,
             total_tokens: total_tokens(ask),
-            priority: job.priority,
+            priority: engine_priority(job.priority, ask.prompt_tokens),
             remaining_ms: job.remaining_ms(),
         };
         match entry.rooms.reserve(entry, candidate, reserve) {
@@ -214,7 +214,7 @@
             epoch: entry.lease.membership().epoch,
             prompt_tokens: segment.prompt_tokens,
             total_tokens: segment.total_tokens + CUT_SLACK_TOKENS,
-            priority: job.priority,
+            priority: engine_priority(job.priority, segment.prompt_tokens),
             remaining_ms: job.remaining_ms(),
         };
         match entry.rooms.reserve(entry, &candidate, reserve) {
--- a/crates/mulberry-entry/src/completion.rs
+++ b/crates/mulberry-entry/src/completion.rs
@@ -230,7 +230,7 @@
             address: room.reserved.address,
             path: endpoint.path(),
             request: room.reserve.request,
-            priority: self.job.priority,
+            priority: room.reserve.priority,
             resume_from: self.sink.tokens(),
             imports,
             body,
--- a/crates/mulberry-entry/src/split.rs
+++ b/crates/mulberry-entry/src/split.rs
@@ -87,6 +87,7 @@
         model: &job.service,
         index,
         text,
+        priority: room.reserve.priority,
         deadline: job.deadline,
     })?;
     entry.rooms.first_token(entry, room);
--- a/crates/mulberry-policy/tests/ledger_faults.rs
+++ b/crates/mulberry-policy/tests/ledger_faults.rs
@@ -345,6 +345,7 @@
         match request {
             HomeRequest::Announce(announcement) => ledger.announce(now_ms, announcement),
             HomeRequest::Release(release) => ledger.release(now_ms, &release),
+            HomeRequest::FirstToken { reservation } => ledger.first_token(now_ms, reservation),
             HomeRequest::Reserve(reserve) => {
                 let request = reserve.request;
                 let Some(attempt) = self.attempts.get(&request) else { return Ok(()) };
--- a/crates/mulberry-targets/src/engine_client.rs
+++ b/crates/mulberry-targets/src/engine_client.rs
@@ -1,5 +1,6 @@
 //! Calls of an engine.
 
+use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -71,6 +72,7 @@
     pub index: u32,
 
     pub text: &'a str,
+    pub priority: Priority,
     pub deadline: Instant,
 }
 
@@ -168,6 +170,7 @@
         let answer: SegmentAnswer = self
             .request(attohttpc::post(format!("http://{address}/kv/segments")), limit)
             .timeout(limit)
+            .header("x-priority", priority_name(call.priority))
             .json(&body)
             .and_then(RequestBuilder::send)
             .map_err(|error| call_error(&error, deadline))
@@ -300,8 +303,13 @@
 }
 
 fn read_json<T: DeserializeOwned>(response: Response) -> Result<T, EngineError> {
-    use std::io::Read;
     let (_, _, reader) = response.split();
-    serde_json::from_reader(reader.take(MAX_ANSWER_BYTES))
+    let mut body = Vec::new();
+    // Read whole before it is parsed: the reader panics when it is read again after an error.
+    reader
+        .take(MAX_ANSWER_BYTES)
+        .read_to_end(&mut body)
+        .map_err(|error| EngineError::Failed { problem: format!("cut answer: {error}") })?;
+    serde_json::from_slice(&body)
         .map_err(|error| EngineError::Failed { problem: format!("malformed answer: {error}") })
 }
