mulberry-control: settle no epoch that a replaced life has not applied

Cause: a new test compares the lease table with a model that knows every lease. It found that an epoch was reported as settled although a replaced life of a node had a valid lease and had applied an older epoch only: member 3 renews in epoch 2, member 1 leaves (epoch 3), a new life of 3 joins (epoch 4), and epoch 3 was settled. The replaced life could still act for targets that it had lost in epoch 3. The limit is now the newest epoch that the replaced life has applied.

--- a/crates/mulberry-control/src/lease_table.rs
+++ b/crates/mulberry-control/src/lease_table.rs
@@ -47,7 +47,9 @@
 /// A life of a node that was replaced by a later one while its lease may still be valid.
 #[derive(Debug)]
 struct ReplacedLife {
-    epoch: MembershipEpoch,
+    /// Newest epoch that it is known to have applied.
+    have_epoch: MembershipEpoch,
+
     until_ms: u64,
 }
 
@@ -123,13 +125,14 @@
                 continue;
             }
             self.expiring.remove(&(member.node, member.incarnation));
-            let counted_from_ms = match self.records.get(&member.node) {
-                Some(record) if record.incarnation == member.incarnation => record.counted_from_ms,
-                _ => self.elected_ms,
-            };
             if !by_lease {
-                let until_ms = counted_from_ms + EXPIRY_MS;
-                self.replaced.push(ReplacedLife { epoch: new.epoch, until_ms });
+                let record = self.records.get(&member.node);
+                let record = record.filter(|record| record.incarnation == member.incarnation);
+                let counted_from_ms = record.map_or(self.elected_ms, |r| r.counted_from_ms);
+                self.replaced.push(ReplacedLife {
+                    have_epoch: record.map_or(MembershipEpoch(0), |record| record.have_epoch),
+                    until_ms: counted_from_ms + EXPIRY_MS,
+                });
             }
             self.records.remove(&member.node);
         }
@@ -184,7 +187,7 @@
     /// lease, so it reports no epoch before one full lease has passed.
     pub fn settled(&mut self, membership: &Membership, now_ms: u64) -> SettledEpochs {
         self.replaced.retain(|life| now_ms < life.until_ms);
-        let replaced = self.replaced.iter().map(|life| MembershipEpoch(life.epoch.0 - 1)).min();
+        let replaced = self.replaced.iter().map(|life| life.have_epoch).min();
         let mut limit = replaced.unwrap_or(membership.epoch).min(membership.epoch);
         if now_ms < self.elected_ms + EXPIRY_MS {
             limit = MembershipEpoch(0);
