--- a/crates/mulberry-consensus/tests/consensus/replica.rs
+++ b/crates/mulberry-consensus/tests/consensus/replica.rs
@@ -86,6 +86,21 @@
     assert_eq!(raft.take_messages(), [(SECOND, message(2, reply))]);
 }
 
+/// Two votes in a term can elect two leaders.
+#[test]
+fn crash_before_the_sync_gives_no_second_vote() {
+    let on_disk = durable(&[1, 2, 3], &[]);
+    let last = Position { term: 1, index: 1 };
+    let mut granted = 0;
+    for candidate in [SECOND, THIRD] {
+        // Nothing of the first life was synced, so the second one starts from the same disk.
+        let mut raft = Raft::new(settings(&[1, 2, 3]), on_disk.clone(), 0);
+        raft.receive(600, candidate, message(2, MessageBody::Vote { last, transfer: false }));
+        granted += raft.take_messages().len();
+    }
+    assert!(granted <= 1, "voted for two candidates in term 2");
+}
+
 /// A leader that counts its own entries before its sync could commit what only a minority holds.
 #[test]
 fn leader_counts_its_own_entries_only_after_the_sync() {
@@ -139,6 +154,20 @@
     }
 }
 
+/// A replica with the longest log that does not campaign leaves a group without a leader for good: the others cannot
+/// get its vote.
+#[test]
+fn removed_voter_campaigns_until_its_removal_is_committed() {
+    for (commit_index, role) in [(1, Role::PreCandidate), (2, Role::Follower)] {
+        let mut state = durable(&[1, 2, 3], &[2]);
+        state.entries[1].payload = Payload::Members(members(&[2, 3]));
+        let mut raft = Raft::new(settings(&[]), state, 0);
+        raft.receive(0, SECOND, message(2, MessageBody::Heartbeat { commit_index, round: 0 }));
+        raft.tick(LATER_MS);
+        assert_eq!(raft.role(), role);
+    }
+}
+
 /// Without bounds a member that is cut off would make the leader queue its whole log again and again.
 #[test]
 fn messages_and_entries_in_flight_are_bounded() {
