Add a reply for requests that are decided and have no effect

Cause: a refused claim, a claim that is not held and a full membership were answered with Unavailable. Entries take that for an instance that cannot serve and try the next ones until their deadline, with the same result each time.

ControlReply::Refused is the last variant, so the encoding of the others stays. Unavailable remains for instances that cannot serve.

Before: a claim of a non-member was sent from instance to instance until the deadline. After: it is refused by the first leader that decides it; the new test covers a claim of a non-member and an end of a claim that is not held.

--- a/crates/mulberry-control/src/replica/apply.rs
+++ b/crates/mulberry-control/src/replica/apply.rs
@@ -146,7 +146,7 @@
                     let reason =
                         "the limit on entries is reached; remove unused entries or raise the limit";
                     let reason = reason.to_owned();
-                    reply_to(renewal.responder, ControlReply::Unavailable { reason });
+                    reply_to(renewal.responder, ControlReply::Refused { reason });
                 }
             }
         }
@@ -210,27 +210,27 @@
     }
 }
 
-/// Reply to an entry. Whatever is neither granted nor recorded becomes `Unavailable`, so that it cannot
-/// pass for a result.
+/// Reply to an entry. Whatever is neither granted nor recorded is refused, so that it cannot pass for a
+/// result and is not sent to another instance.
 fn control_reply(reply: Reply) -> ControlReply {
-    let unavailable = |reason: &str| ControlReply::Unavailable { reason: reason.to_owned() };
+    let refused = |reason: &str| ControlReply::Refused { reason: reason.to_owned() };
     match reply {
         Reply::Claim(reply) => ControlReply::Claim(reply),
         Reply::Permit(permit) => ControlReply::Permit(permit),
         Reply::Removed { .. } => ControlReply::Done,
         Reply::Settle(SettleReply::Done | SettleReply::DoneWithoutAnswer) => ControlReply::Done,
         Reply::Settle(SettleReply::NotHeld) => {
-            unavailable("the claim is not held by this request; its outcome is as stored")
+            refused("the claim is not held by this request; its outcome is as stored")
         }
         Reply::Settle(SettleReply::TombstonesFull) => {
-            unavailable("too many releases are remembered; report the outcome as unknown")
+            refused("too many releases are remembered; report the outcome as unknown")
         }
-        Reply::ClaimRefused(refusal) => unavailable(match refusal {
+        Reply::ClaimRefused(refusal) => refused(match refusal {
             ClaimRefusal::NotMember => "the entry is not a member; renew the lease first",
             ClaimRefusal::KeyTooLong => "a part of the key is too long; send a shorter one",
             ClaimRefusal::OpenClaimsFull => "too many claimed calls are running; retry later",
             ClaimRefusal::StoredClaimsFull => "too many claims are kept; retry later",
         }),
-        _ => unavailable("the command had an unexpected reply; report the fault"),
+        _ => refused("the command had an unexpected reply; report the fault"),
     }
 }
--- a/crates/mulberry-control/src/replica/entry_requests.rs
+++ b/crates/mulberry-control/src/replica/entry_requests.rs
@@ -66,7 +66,7 @@
             let Waiter::Entry(responder) = waiter else { return };
             let reply = match refused {
                 Refused::NotLeader { .. } => self.elsewhere(),
-                Refused::TooLong(reason) => ControlReply::Unavailable { reason },
+                Refused::TooLong(reason) => ControlReply::Refused { reason },
             };
             reply_to(responder, reply);
         }
@@ -116,7 +116,7 @@
         for renewal in leadership.joining.remove(&key).unwrap_or_default() {
             let reply = match refused {
                 Refused::NotLeader { .. } => self.elsewhere(),
-                Refused::TooLong(reason) => ControlReply::Unavailable { reason: reason.clone() },
+                Refused::TooLong(reason) => ControlReply::Refused { reason: reason.clone() },
             };
             reply_to(renewal.responder, reply);
         }
--- a/crates/mulberry-control/tests/group.rs
+++ b/crates/mulberry-control/tests/group.rs
@@ -130,6 +130,24 @@
     assert_eq!(entry.request(&claim(3)), ControlReply::Claim(ClaimReply::Finished(answer)));
 }
 
+/// Guards against a refusal that passes for a result, or for an instance that cannot serve and sends the
+/// entry from one instance to the next until its deadline.
+#[test]
+fn decided_requests_without_effect_are_refused() {
+    let group = Group::start("refused", 3);
+    let entry = LightEntry::in_group(1, &group);
+    let request = RequestId { node: NodeId(1), incarnation: entry.member.incarnation, counter: 1 };
+    let key = ClaimKey { workspace: "w".into(), service: "s".into(), key: "k".into() };
+    let requests = [
+        ControlRequest::Claim { key: key.clone(), fingerprint: [1; 32], request },
+        ControlRequest::AbandonClaim { key, request },
+    ];
+    for request in requests {
+        let reply = entry.request(&request);
+        assert!(matches!(reply, ControlReply::Refused { .. }), "{request:?}: {reply:?}");
+    }
+}
+
 /// Guards against a log or snapshot that does not bring back the whole state, and against a group that
 /// comes up only in a certain order.
 #[test]
--- a/crates/mulberry-types/src/control_messages.rs
+++ b/crates/mulberry-types/src/control_messages.rs
@@ -103,6 +103,12 @@
     Unavailable {
         reason: String,
     },
+
+    /// The request was decided and has no effect, for example because the entry is no member, a limit is
+    /// reached, or the claim is not held by this request. No other instance decides differently.
+    Refused {
+        reason: String,
+    },
 }
 
 /// Lease granted to an entry.
