--- a/crates/mulberry-policy/src/placement.rs
+++ b/crates/mulberry-policy/src/placement.rs
@@ -18,6 +18,9 @@
 /// Homes that are asked for one request: with more, refusals cost more than waiting.
 const MAX_CANDIDATES: usize = 3;
 
+/// Choices that are put in order. While a target moves, two homes may list it.
+const MAX_ORDERED: usize = 2 * MAX_CANDIDATES;
+
 /// A prefix is worth this much waiting at the engine that probably has it cached.
 const PREFIX_MS: u64 = 200;
 
@@ -93,6 +96,9 @@
 
     /// Every target that could take it is full or busy with long prompts.
     Full,
+
+    /// No target is expected to give the first token before the deadline.
+    TooLate,
 }
 
 /// Result of a ranking.
@@ -180,7 +186,7 @@
         configuration: &Configuration,
         policy: PlacementPolicy,
     ) -> Ranking {
-        let total_tokens = request.prompt_tokens + request.max_answer_tokens;
+        let total_tokens = request.prompt_tokens.saturating_add(request.max_answer_tokens);
         let cap = (request.prompt_tokens > LONG_PROMPT_TOKENS)
             .then(|| view.long_prefill_cap(configuration));
         let loads = view.in_flight().loads();
@@ -201,7 +207,7 @@
                 reason = reason.max(NoCandidateReason::BeyondOneEngine);
                 continue;
             }
-            reason = NoCandidateReason::Full;
+            reason = reason.max(NoCandidateReason::Full);
             if let Some(prefix_hash) = request.prefix_hash {
                 let weight = xxh3_64_with_seed(target.target.as_bytes(), prefix_hash);
                 if prefix_engine.is_none_or(|best| (weight, &target.target) > best) {
@@ -214,11 +220,16 @@
                 continue;
             }
             let added = loads.of(&target.target);
-            let fits = !is_engine || target.free_tokens >= added.tokens + total_tokens;
+            let fits =
+                !is_engine || target.free_tokens >= added.tokens.saturating_add(total_tokens);
             if !fits || target.free_slots <= added.slots {
                 continue;
             }
             let expected_ms = self.expected_ms(request, target, &added);
+            if expected_ms > request.remaining_ms {
+                reason = reason.max(NoCandidateReason::TooLate);
+                continue;
+            }
             choices.push(Choice { home, target, added, expected_ms });
         }
         if choices.is_empty() {
@@ -226,7 +237,7 @@
         }
         match policy {
             PlacementPolicy::ExpectedTime => {
-                order_by_time(request, &mut choices, prefix_engine.map(|(_, target)| target));
+                choices = best_by_time(request, &choices, prefix_engine.map(|(_, target)| target));
             }
             PlacementPolicy::RoundRobin => {
                 choices.sort_by(|a, b| a.target.target.cmp(&b.target.target));
@@ -235,8 +246,7 @@
             }
             PlacementPolicy::LeastReportedLoad => {
                 choices.sort_by_key(|choice| {
-                    let taken = choice.target.slots.saturating_sub(choice.target.free_slots);
-                    (taken, tie_break(request, choice.target))
+                    (choice.target.taken_slots, tie_break(request, choice.target))
                 });
             }
         }
@@ -281,7 +291,7 @@
                 }
             }
         }
-        let total_tokens = request.prompt_tokens + request.max_answer_tokens;
+        let total_tokens = request.prompt_tokens.saturating_add(request.max_answer_tokens);
         if request.prompt_tokens == 0 || total_tokens > memory_tokens {
             return Err(SplitRefused::NeverFits);
         }
@@ -357,13 +367,14 @@
             NoCandidateReason::NoneReady => 1,
             NoCandidateReason::BeyondOneEngine => 2,
             NoCandidateReason::Full => 3,
+            NoCandidateReason::TooLate => 4,
         }
     }
 
     fn retry_after_ms(self) -> u64 {
         match self {
             NoCandidateReason::NoTarget | NoCandidateReason::NoneReady => MISSING_RETRY_MS,
-            NoCandidateReason::BeyondOneEngine => 0,
+            NoCandidateReason::BeyondOneEngine | NoCandidateReason::TooLate => 0,
             NoCandidateReason::Full => FULL_RETRY_MS,
         }
     }
@@ -375,27 +386,43 @@
     xxh3_64_with_seed(target.target.as_bytes(), seed)
 }
 
-fn order_by_time(
+/// The best choices by expected time, best first. A selection in one pass: sorting all engines of the
+/// design size costs more than looking at them.
+fn best_by_time<'a>(
     request: &PlacementRequest,
-    choices: &mut [Choice<'_>],
+    choices: &[Choice<'a>],
     prefix_engine: Option<&Arc<str>>,
-) {
-    choices.sort_by_cached_key(|choice| {
+) -> Vec<Choice<'a>> {
+    let mut best: Vec<((u64, u64, u64), Choice<'a>)> = Vec::with_capacity(MAX_ORDERED + 1);
+    for choice in choices {
         let target = choice.target;
-        let free = u64::from(target.free_slots.saturating_sub(choice.added.slots));
-        let taken_eighths = 8 - 8 * free / u64::from(target.slots.max(1));
-        (choice.expected_ms / SPAN_MS, taken_eighths, tie_break(request, target))
-    });
-    let Some(prefix_engine) = prefix_engine else {
-        return;
-    };
+        // By what is taken, not by what is free: a target that ramps up has few slots free, and if
+        // it counted as full it would get no work beside idle warm ones and never ramp up.
+        let taken = u64::from(target.taken_slots + choice.added.slots);
+        let taken_eighths = 8 * taken / u64::from(target.slots.max(1));
+        let span = choice.expected_ms / SPAN_MS;
+        let is_worse = best
+            .last()
+            .is_some_and(|((last, last_taken, _), _)| (span, taken_eighths) > (*last, *last_taken));
+        if best.len() == MAX_ORDERED && is_worse {
+            continue;
+        }
+        let key = (span, taken_eighths, tie_break(request, target));
+        let position = best.partition_point(|(other, _)| *other <= key);
+        best.insert(position, (key, *choice));
+        best.truncate(MAX_ORDERED);
+    }
+    let mut best: Vec<Choice<'a>> = best.into_iter().map(|(_, choice)| choice).collect();
     let best_ms = choices.iter().map(|choice| choice.expected_ms).min().unwrap_or(0);
-    let position = choices.iter().position(|choice| {
-        choice.target.target == *prefix_engine && choice.expected_ms <= best_ms + PREFIX_MS
+    let preferred = prefix_engine.and_then(|engine| {
+        let is_preferred = |choice: &&Choice<'_>| choice.target.target == *engine;
+        choices.iter().find(is_preferred).filter(|it| it.expected_ms <= best_ms + PREFIX_MS)
     });
-    if let Some(position) = position {
-        choices[..=position].rotate_right(1);
+    if let Some(preferred) = preferred {
+        best.retain(|choice| choice.target.target != preferred.target.target);
+        best.insert(0, *preferred);
     }
+    best
 }
 
 /// The first candidates; a target that two homes list counts once, with the newer home.
--- a/crates/standin-engine/src/api.rs
+++ b/crates/standin-engine/src/api.rs
@@ -24,6 +24,9 @@
 /// Answer that refuses a request.
 type Refused = Box<Response>;
 
+/// Time for an answer to be written.
+const ANSWER_PAUSE: Duration = Duration::from_millis(20);
+
 #[derive(Debug, Deserialize)]
 struct CompletionRequest {
     model: Arc<str>,
@@ -64,10 +67,10 @@
         (&Method::GET, ["load"]) => Ok(json_answer(&json!(load(life)))),
         (&Method::GET, ["cache-events"]) => cache_events(life, request),
         (&Method::POST, ["orders"]) => order(life, request, received),
-        (&Method::POST, ["faults"]) => parse::<Fault>(request).map(|fault| {
-            life.inject(&fault);
-            json_answer(&json!({ "accepted": true }))
-        }),
+        (&Method::POST, ["faults"]) => match parse(request) {
+            Ok(fault) => return take_fault(life, &fault, responder),
+            Err(refused) => Err(refused),
+        },
         (&Method::GET, ["health"]) => Ok(health(life)),
         (&Method::GET, ["accounting"]) => Ok(json_answer(&accounting(life))),
         _ => Err(refused(
@@ -79,6 +82,19 @@
     responder.send(result.unwrap_or_else(|refused| *refused));
 }
 
+/// Answers and injects a fault; one that cuts all connections waits until its own answer has been written.
+fn take_fault(life: &Life, fault: &Fault, responder: Responder) {
+    let accepted = json_answer(&json!({ "accepted": true }));
+    if matches!(fault, Fault::Die | Fault::RestartCold { .. }) {
+        responder.send(accepted);
+        std::thread::sleep(ANSWER_PAUSE);
+        life.inject(fault);
+    } else {
+        life.inject(fault);
+        responder.send(accepted);
+    }
+}
+
 fn json_answer(value: &Value) -> Response {
     Response::json(StatusCode::OK, value.to_string())
 }
@@ -165,12 +181,7 @@
             .filter(|cursor| *cursor <= max_tokens)
             .ok_or_else(|| invalid("X-Resume-From must be a number up to max_tokens"))?,
     };
-    let priority = match request.header("x-priority") {
-        Some("low") => Priority::Low,
-        None | Some("normal") => Priority::Normal,
-        Some("high") => Priority::High,
-        Some(_) => return Err(invalid("X-Priority must be low, normal or high")),
-    };
+    let priority = priority(request)?;
     let request_id: Arc<str> = match request.header("x-request-id") {
         Some(id) if !id.is_empty() => id.into(),
         _ => format!("anonymous-{:x}", rand::random::<u64>()).into(),
@@ -208,6 +219,15 @@
     })
 }
 
+fn priority(request: &Request) -> Result<Priority, Refused> {
+    match request.header("x-priority") {
+        Some("low") => Ok(Priority::Low),
+        None | Some("normal") => Ok(Priority::Normal),
+        Some("high") => Ok(Priority::High),
+        Some(_) => Err(invalid("X-Priority must be low, normal or high")),
+    }
+}
+
 /// Fetches the texts of exported segments from the engines that hold them.
 fn fetch_imports(life: &Life, imports: &str) -> Result<Vec<String>, Refused> {
     let timeout = Duration::from_millis(life.settings.import_timeout_ms);
@@ -242,7 +262,7 @@
         let job = Job {
             request_id: body.request_id,
             kind: JobKind::Segment { index: body.index, text: body.text.clone() },
-            priority: Priority::Normal,
+            priority: priority(request)?,
             prompt_tokens: estimate_tokens(body.text.len() as u64),
             block_hashes: Vec::new(),
             starts_at: Instant::now(),
