Lose a log line instead of the process when the log cannot be written

Cause: after a failed write to standard error the subscriber reported the failure on standard error, which panics when that write fails as well. A full disk behind the log output ended the replica thread and with it the control instance.

Ruled out: a writer that swallows errors. The subscriber has a switch for its own report, which is all that panicked.

Conclusion: a full log disk costs log lines only.

--- a/crates/mulberry-platform/src/logging.rs
+++ b/crates/mulberry-platform/src/logging.rs
@@ -23,6 +23,9 @@
     let _ = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_writer(std::io::stderr)
+        // Reporting a failed write would write to standard error again and panic: a full disk behind the log would
+        // end the process. The line is lost instead.
+        .log_internal_errors(false)
         .event_format(format)
         .try_init();
 }
