Print each cause of a failed start once

Cause: most error messages name their cause before the remedy, and return it as the source as well. The binaries printed the whole chain, so a damaged log or a missing settings file was reported twice on one line.

Ruled out: dropping the sources, which programs that match on them need; and printing the outer message only, which drops the cause where it is not part of the message.

Before: "... is in use by another process; stop that process or choose another folder: data folder ... is in use by another process; ..." After: one sentence for each cause; the new test checks both directions.

Conclusion: `mulberry_platform::error_line` is the one place for this text.

--- a/crates/mulberry-control/src/main.rs
+++ b/crates/mulberry-control/src/main.rs
@@ -6,6 +6,7 @@
 
 use eyre::{Result, WrapErr, eyre};
 use mulberry_control::{ControlInstance, ControlSettings};
+use mulberry_platform::error_line;
 use mulberry_types::load_settings;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -31,7 +32,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("mulberry-control: {error:#}");
+            eprintln!("mulberry-control: {}", error_line(error.as_ref()));
             ExitCode::FAILURE
         }
     }
--- a/crates/mulberry-entry/src/main.rs
+++ b/crates/mulberry-entry/src/main.rs
@@ -5,7 +5,7 @@
 
 use eyre::Result;
 use mulberry_entry::{EntrySettings, Instance};
-use mulberry_platform::init_logging;
+use mulberry_platform::{error_line, init_logging};
 use mulberry_types::load_settings;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -29,7 +29,7 @@
     match run(&flags) {
         Ok(code) => code,
         Err(error) => {
-            eprintln!("mulberry-entry: {error:#}");
+            eprintln!("mulberry-entry: {}", error_line(error.as_ref()));
             ExitCode::from(2)
         }
     }
--- a/crates/mulberry-platform/tests/logging.rs
+++ b/crates/mulberry-platform/tests/logging.rs
@@ -1,9 +1,11 @@
-//! Logging.
+//! Logging and error texts.
 
+use std::error::Error;
+use std::fmt;
 use std::fs::OpenOptions;
 use std::process::{Command, Stdio};
 
-use mulberry_platform::init_logging;
+use mulberry_platform::{error_line, init_logging};
 
 /// Runs in a process of its own, started by the test below.
 #[test]
@@ -25,3 +27,28 @@
         .unwrap();
     assert!(status.success(), "{status}");
 }
+
+#[derive(Debug)]
+struct Failure(&'static str, Option<Box<Failure>>);
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+impl Error for Failure {
+    fn source(&self) -> Option<&(dyn Error + 'static)> {
+        self.1.as_deref().map(|cause| cause as &dyn Error)
+    }
+}
+
+/// Guards against a cause that is printed twice, and against one that is left out.
+#[test]
+fn an_error_line_names_each_cause_once() {
+    let cause = || Some(Box::new(Failure("no space", None)));
+    let named = Failure("cannot write: no space; free some", cause());
+    assert_eq!(error_line(&named), "cannot write: no space; free some");
+    let outer = Failure("cannot start", Some(Box::new(named)));
+    assert_eq!(error_line(&outer), "cannot start: cannot write: no space; free some");
+}
