Log the id of a new data folder as commands take it

Cause: the event `data_folder_created` had the member id as a decimal number, everything else has 16 hexadecimal digits, and `mulberryctl members add-learner` takes only the latter.

Ruled out: accepting decimal ids in mulberryctl, as 16 digits can be either. Conclusion: an id can be copied from any line of the log.

--- a/crates/mulberry-log/src/recovery.rs
+++ b/crates/mulberry-log/src/recovery.rs
@@ -115,7 +115,7 @@
     tracing::info!(
         event = "data_folder_created",
         folder = folder.disk.path_of(""),
-        member = member.0
+        %member
     );
     Ok(member)
 }
