Refuse an unspecified peer address of an entry, and match the default port

Cause: an entry that listens on 0.0.0.0 for its peers told the others this address unless `peer_advertise` was set. They cannot connect to it, so it was a member and home that nobody could reach. The default of `control` was port 7000, while control instances listen on 7101 by default.

Ruled out: finding the address by the route to control, which guesses wrong on hosts with several networks.

Before: the new test of settings failed for {"peer_listen": "0.0.0.0:8003"}. After: it passes; the message names peer_advertise.

--- a/crates/mulberry-entry/src/settings.rs
+++ b/crates/mulberry-entry/src/settings.rs
@@ -92,7 +92,7 @@
             platform_listen: loopback(8002),
             peer_listen: loopback(8003),
             peer_advertise: None,
-            control: vec![loopback(7000)],
+            control: vec![loopback(7101)],
             secret_file: PathBuf::from("secret"),
             log_level: "info".to_owned(),
             placement: PlacementSetting::default(),
@@ -136,9 +136,20 @@
         if self.zone.is_empty() {
             return Err(field("zone", "is empty; name the availability zone of this instance"));
         }
+        self.check_advertised()?;
         self.check_listeners()
     }
 
+    /// The address of this entry is told to the others, which cannot connect to an unspecified one.
+    fn check_advertised(&self) -> Result<(), SettingsError> {
+        let advertised = self.peer_advertise.unwrap_or(self.peer_listen);
+        if advertised.ip().is_unspecified() {
+            let problem = "is told to the other entries; name an address of this host";
+            return Err(field("peer_advertise", problem));
+        }
+        Ok(())
+    }
+
     fn check_listeners(&self) -> Result<(), SettingsError> {
         let listeners = [
             ("caller_listen", self.caller_listen),
