--- a/crates/mulberry-policy/src/placement.rs
+++ b/crates/mulberry-policy/src/placement.rs
@@ -96,6 +96,9 @@
 
     /// Every target that could take it is full or busy with long prompts.
     Full,
+
+    /// No target is expected to give the first token before the deadline.
+    TooLate,
 }
 
 /// Result of a ranking.
@@ -183,7 +186,7 @@
         configuration: &Configuration,
         policy: PlacementPolicy,
     ) -> Ranking {
-        let total_tokens = request.prompt_tokens + request.max_answer_tokens;
+        let total_tokens = request.prompt_tokens.saturating_add(request.max_answer_tokens);
         let cap = (request.prompt_tokens > LONG_PROMPT_TOKENS)
             .then(|| view.long_prefill_cap(configuration));
         let loads = view.in_flight().loads();
@@ -204,7 +207,7 @@
                 reason = reason.max(NoCandidateReason::BeyondOneEngine);
                 continue;
             }
-            reason = NoCandidateReason::Full;
+            reason = reason.max(NoCandidateReason::Full);
             if let Some(prefix_hash) = request.prefix_hash {
                 let weight = xxh3_64_with_seed(target.target.as_bytes(), prefix_hash);
                 if prefix_engine.is_none_or(|best| (weight, &target.target) > best) {
@@ -217,11 +220,16 @@
                 continue;
             }
             let added = loads.of(&target.target);
-            let fits = !is_engine || target.free_tokens >= added.tokens + total_tokens;
+            let fits =
+                !is_engine || target.free_tokens >= added.tokens.saturating_add(total_tokens);
             if !fits || target.free_slots <= added.slots {
                 continue;
             }
             let expected_ms = self.expected_ms(request, target, &added);
+            if expected_ms > request.remaining_ms {
+                reason = reason.max(NoCandidateReason::TooLate);
+                continue;
+            }
             choices.push(Choice { home, target, added, expected_ms });
         }
         if choices.is_empty() {
@@ -238,8 +246,7 @@
             }
             PlacementPolicy::LeastReportedLoad => {
                 choices.sort_by_key(|choice| {
-                    let taken = choice.target.slots.saturating_sub(choice.target.free_slots);
-                    (taken, tie_break(request, choice.target))
+                    (choice.target.taken_slots, tie_break(request, choice.target))
                 });
             }
         }
@@ -284,7 +291,7 @@
                 }
             }
         }
-        let total_tokens = request.prompt_tokens + request.max_answer_tokens;
+        let total_tokens = request.prompt_tokens.saturating_add(request.max_answer_tokens);
         if request.prompt_tokens == 0 || total_tokens > memory_tokens {
             return Err(SplitRefused::NeverFits);
         }
@@ -360,13 +367,14 @@
             NoCandidateReason::NoneReady => 1,
             NoCandidateReason::BeyondOneEngine => 2,
             NoCandidateReason::Full => 3,
+            NoCandidateReason::TooLate => 4,
         }
     }
 
     fn retry_after_ms(self) -> u64 {
         match self {
             NoCandidateReason::NoTarget | NoCandidateReason::NoneReady => MISSING_RETRY_MS,
-            NoCandidateReason::BeyondOneEngine => 0,
+            NoCandidateReason::BeyondOneEngine | NoCandidateReason::TooLate => 0,
             NoCandidateReason::Full => FULL_RETRY_MS,
         }
     }
@@ -388,8 +396,10 @@
     let mut best: Vec<((u64, u64, u64), Choice<'a>)> = Vec::with_capacity(MAX_ORDERED + 1);
     for choice in choices {
         let target = choice.target;
-        let free = u64::from(target.free_slots.saturating_sub(choice.added.slots));
-        let taken_eighths = 8 - 8 * free / u64::from(target.slots.max(1));
+        // By what is taken, not by what is free: a target that ramps up has few slots free, and if
+        // it counted as full it would get no work beside idle warm ones and never ramp up.
+        let taken = u64::from(target.taken_slots + choice.added.slots);
+        let taken_eighths = 8 * taken / u64::from(target.slots.max(1));
         let span = choice.expected_ms / SPAN_MS;
         let is_worse = best
             .last()
