--- a/crates/mulberry-entry/src/lib.rs
+++ b/crates/mulberry-entry/src/lib.rs
@@ -32,4 +32,5 @@
 mod workspace_limits;
 
 pub use instance::Instance;
+pub use metrics::{EntryMetrics, NameLabel};
 pub use settings::{EntrySettings, PlacementSetting};
