--- a/crates/mulberry-policy/tests/ledger_faults.rs
+++ b/crates/mulberry-policy/tests/ledger_faults.rs
@@ -371,7 +371,6 @@
                     self.send_home(0.2, 3_000, HomeRequest::Reserve(reserve));
                 }
             }
-            HomeRequest::FirstToken { reservation } => ledger.first_token(now_ms, reservation),
             HomeRequest::Digest(_) => {}
         }
         Ok(())
