Let three quarters of the engines take long prompts

The cap of one half dates from a design without priorities at the engine.

Ruled out: no cap at all, which leaves shorts no engine without long prefill.

--- a/crates/mulberry-policy/src/long_prefill_cap.rs
+++ b/crates/mulberry-policy/src/long_prefill_cap.rs
@@ -1,9 +1,9 @@
 //! Cap on the engines of a model that prefill long prompts at the same time.
 //!
-//! The engines that may take prompts over 16,000 tokens are the first half of a ranking that every
+//! The engines that may take prompts over 16,000 tokens are the first three quarters of a ranking that every
 //! entry computes in the same way from the digests: by memory, because only large engines fit the
 //! longest prompts, then by a hash of model and engine. So all entries and homes agree without
-//! messages, up to the age of their digests. Three engines are always eligible. An engine that has lost its place in the first half
+//! messages, up to the age of their digests. Three engines are always eligible. An engine that has lost its place
 //! and still has a long prompt in prefill takes the place of another one, so the cap also holds
 //! while engines come and go.
 
@@ -19,6 +19,11 @@
 /// Prompts above this take part in the cap.
 pub const LONG_PROMPT_TOKENS: u64 = 16_000;
 
+/// Quarters of a model's engines that may take long prompts. With two quarters, prompts over 128,000
+/// tokens waited up to 77 s while engines without long prompts were idle; shorts keep their time to
+/// first token by their priority at the engine.
+const CAP_QUARTERS: usize = 3;
+
 /// Engines that may always take long prompts. The longest prompts need the memory of three engines,
 /// and with fewer eligible ones a model on few engines could never serve them.
 const MIN_ENGINES: usize = 3;
@@ -79,13 +84,14 @@
 }
 
 fn eligible(model: &str, mut engines: Vec<&TargetDigest>) -> BTreeSet<Arc<str>> {
-    let cap = (engines.len() / 2).max(MIN_ENGINES.min(engines.len()));
+    let share = engines.len() * CAP_QUARTERS / 4;
+    let cap = share.max(MIN_ENGINES.min(engines.len()));
     let seed = xxh3_64_with_seed(model.as_bytes(), 0);
     engines.sort_by_cached_key(|engine| {
         let hash = xxh3_64_with_seed(engine.target.as_bytes(), seed);
         (std::cmp::Reverse(engine.memory_tokens), hash, Arc::clone(&engine.target))
     });
-    // Engines in long prefill keep their places, also those that are outside of the first half now.
+    // Engines in long prefill keep their places, also those that are outside of the first ones now.
     let mut places = cap.saturating_sub(engines.iter().filter(|it| it.long_prefill).count());
     let mut allowed = BTreeSet::new();
     for engine in engines.iter().take(cap) {
--- a/crates/mulberry-policy/src/placement.rs
+++ b/crates/mulberry-policy/src/placement.rs
@@ -28,6 +28,10 @@
 /// the error of the estimate; smaller spans make all entries choose the same engine.
 const SPAN_MS: u64 = 20;
 
+/// Expected wait for the chunk that an engine in long prefill works on. Without it, shorts choose such
+/// engines as often as idle ones.
+const CHUNK_MS: u64 = 25;
+
 /// Time after which full targets are tried again: the interval of digests.
 const FULL_RETRY_MS: u64 = 250;
 
@@ -351,7 +355,8 @@
             + tokens_ahead(&added.prompt_tokens, request.priority);
         // The digest's speed is corrected by what the home observed.
         let own = request.prompt_tokens;
-        transfer_ms + CostModel::estimate_ms(target.prefill_tokens_per_s, ahead, own)
+        let chunk_ms = if target.long_prefill { CHUNK_MS } else { 0 };
+        transfer_ms + chunk_ms + CostModel::estimate_ms(target.prefill_tokens_per_s, ahead, own)
     }
 }
 
