Set the metric of waiting requests when the queue is empty

Cause: the gauge was set only after a look at a queue that was not empty. When the only waiting caller went away, `mulberry_queued` stayed at 1 for ever.

Ruled out: setting it where a request is removed only, as requests also leave by their deadline and by a turn; the look every 50 ms covers all of them.

Conclusion: an alarm on this metric ends with its cause.

--- a/crates/mulberry-entry/src/dispatcher.rs
+++ b/crates/mulberry-entry/src/dispatcher.rs
@@ -107,6 +107,8 @@
     pub fn pump(&self, entry: &Entry) {
         let mut state = self.lock();
         if state.queue.is_empty() {
+            // The last request may have left without a turn.
+            entry.metrics.queued.set(0);
             return;
         }
         let now_ms = entry.clock.now_ms();
