Refuse a log level that is no level

Cause: the filter takes any word for the name of a module.

Ruled out: falling back to info, as the comment of init_logging promises for a text that cannot be parsed; this one can be parsed.

Before: `mulberry-entry` with log_level "inof" ran for 1 s without a line. After: both binaries name the field log_level and the levels; new cases in the tests of settings of both and of logging. "info, x=trace" with a blank is refused as well, since the filter does not take it.

Conclusion: a level in a settings file is one that logs.

--- a/crates/mulberry-control/src/control_settings.rs
+++ b/crates/mulberry-control/src/control_settings.rs
@@ -7,6 +7,7 @@
 
 use mulberry_log::LogSettings;
 use mulberry_operators::{OperatorToken, OperatorTokens};
+use mulberry_platform::check_log_level;
 use mulberry_types::SettingsError;
 use serde::{Deserialize, Serialize};
 
@@ -119,6 +120,7 @@
         if self.log.segment_bytes < 1 << 16 || self.log.record_bytes < 1 << 16 {
             return Err(field("log", "use at least 65,536 bytes for segments and records"));
         }
+        check_log_level(&self.log_level).map_err(|problem| field("log_level", &problem))?;
         if self.data_folder.as_os_str().is_empty() {
             return Err(field("data_folder", "name a folder on a disk that survives restarts"));
         }
--- a/crates/mulberry-control/tests/settings.rs
+++ b/crates/mulberry-control/tests/settings.rs
@@ -30,6 +30,7 @@
         (r#"{"peers": ["127.0.0.1:7101", "127.0.0.1:7101"]}"#.to_owned(), "peers[1]"),
         (r#"{"snapshot_entries": 1}"#.to_owned(), "snapshot_entries"),
         (r#"{"data_folder": ""}"#.to_owned(), "data_folder"),
+        (r#"{"log_level": "inof"}"#.to_owned(), "log_level"),
         (r#"{"log": {"segment_bytes": 1}}"#.to_owned(), "log"),
         (
             r#"{"operators": [{"operator": "a", "token_sha256": "xyz"}]}"#.to_owned(),
--- a/crates/mulberry-entry/src/settings.rs
+++ b/crates/mulberry-entry/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
+use mulberry_platform::check_log_level;
 use mulberry_types::{NodeId, SettingsError};
 use serde::{Deserialize, Serialize};
 
@@ -136,6 +137,7 @@
         if self.zone.is_empty() {
             return Err(field("zone", "is empty; name the availability zone of this instance"));
         }
+        check_log_level(&self.log_level).map_err(|problem| field("log_level", &problem))?;
         self.check_advertised()?;
         self.check_listeners()
     }
--- a/crates/mulberry-entry/tests/settings.rs
+++ b/crates/mulberry-entry/tests/settings.rs
@@ -24,6 +24,7 @@
         (r#"{"peer_listen": "[::]:8003"}"#, "peer_advertise"),
         (r#"{"peer_advertise": "0.0.0.0:8003"}"#, "peer_advertise"),
         (r#"{"control": []}"#, "control"),
+        (r#"{"log_level": "inof"}"#, "log_level"),
         (r#"{"placement": "best"}"#, "placement"),
         (r#"{"max_requests_in_flight": 0}"#, "max_requests_in_flight"),
         (r#"{"max_queued_requests": 0}"#, "max_queued_requests"),
--- a/crates/mulberry-platform/src/lib.rs
+++ b/crates/mulberry-platform/src/lib.rs
@@ -7,5 +7,5 @@
 
 pub use error_line::error_line;
 pub use health::Health;
-pub use logging::{LogLevel, init_logging};
+pub use logging::{LogLevel, check_log_level, init_logging};
 pub use platform_server::{PlatformServer, SharedRegistry};
--- a/crates/mulberry-platform/src/logging.rs
+++ b/crates/mulberry-platform/src/logging.rs
@@ -13,6 +13,22 @@
 /// Least level that is logged, such as `info` or `mulberry_entry=debug,warn`.
 pub type LogLevel = str;
 
+/// Checks a log level from a settings file.
+///
+/// # Errors
+/// A part is no level. A misspelt level would count as the name of a module, and nothing would be logged.
+pub fn check_log_level(level: &LogLevel) -> Result<(), String> {
+    const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+    let is_level = |part: &str| {
+        let name = part.rsplit('=').next().unwrap_or_default().trim();
+        LEVELS.iter().any(|level| level.eq_ignore_ascii_case(name))
+    };
+    if level.split(',').all(is_level) && EnvFilter::try_new(level).is_ok() {
+        return Ok(());
+    }
+    Err(format!("is \"{level}\"; use {}, or MODULE=LEVEL separated by commas", LEVELS.join(", ")))
+}
+
 /// Starts logging for this process. `instance` stands on every line.
 ///
 /// A level that cannot be parsed is replaced by `info`. A second call does nothing.
--- a/crates/mulberry-platform/tests/logging.rs
+++ b/crates/mulberry-platform/tests/logging.rs
@@ -5,7 +5,7 @@
 use std::fs::OpenOptions;
 use std::process::{Command, Stdio};
 
-use mulberry_platform::{error_line, init_logging};
+use mulberry_platform::{check_log_level, error_line, init_logging};
 
 /// Runs in a process of its own, started by the test below.
 #[test]
@@ -28,6 +28,25 @@
     assert!(status.success(), "{status}");
 }
 
+/// Guards against a misspelt level, which would silence the log, and against refusing a right one.
+#[test]
+fn log_levels_are_checked() {
+    for level in ["info", "WARN", "off", "mulberry_entry=debug,warn"] {
+        assert_eq!(check_log_level(level), Ok(()), "{level}");
+    }
+    for level in [
+        "",
+        "inof",
+        "mulberry_entry",
+        "mulberry_entry=",
+        "info,",
+        "info, mulberry_log=trace",
+        "mulberry_entry=loud",
+    ] {
+        assert!(check_log_level(level).is_err(), "{level}");
+    }
+}
+
 #[derive(Debug)]
 struct Failure(&'static str, Option<Box<Failure>>);
 
