standin-engine: count falls by overload in the accounting

Cause: an engine that gets too much load while it is cold falls over, but only a log line said so.

Ruled out: counting changes of the boot id, because the fault `restart_cold` changes it as well.

Before: `GET /accounting` of an engine has no such field. After: `fell_over` counts restarts by too much load while cold, and not injected restarts; it outlives the emulated restart like the other counts. The existing test of a fall asserts 1.

--- a/crates/standin-engine/src/batch.rs
+++ b/crates/standin-engine/src/batch.rs
@@ -130,6 +130,9 @@
     pub(crate) refused: u64,
     pub(crate) exports: u64,
 
+    /// How often the engine fell over because it got too much load while it was cold.
+    pub(crate) fell_over: u64,
+
     /// How often a completion of each request id ran.
     pub(crate) runs: HashMap<Arc<str>, u32>,
 }
--- a/crates/standin-engine/src/life.rs
+++ b/crates/standin-engine/src/life.rs
@@ -97,6 +97,7 @@
         let cold = &self.settings.cold_start;
         if batch.is_cold() && batch.concurrent() > cold.max_concurrent as usize {
             tracing::warn!(target_id = %self.settings.target, "fell_over");
+            batch.counts.fell_over += 1;
             // Without a supervisor the engine is stopping anyway.
             let _ = self.commands.send(Command::Restart { down_ms: cold.down_ms });
         }
--- a/crates/standin-engine/tests/engine.rs
+++ b/crates/standin-engine/tests/engine.rs
@@ -275,6 +275,7 @@
     assert_ne!(get(address, "/health")["boot_id"], boot_id);
     assert_eq!(engine.accounting()["held_tokens"], 0);
     assert_eq!(engine.accounting()["runs"]["1-1-0"], 1);
+    assert_eq!(engine.accounting()["fell_over"], 1);
     for _ in 0..3 {
         post(address, "/v1/completions", &[], &prompt("warm up", 1)).unwrap();
     }
