--- a/crates/standin-engine/src/life.rs
+++ b/crates/standin-engine/src/life.rs
@@ -104,6 +104,8 @@
         let cold = &self.settings.cold_start;
         if batch.is_cold() && batch.concurrent() > cold.max_concurrent as usize {
             tracing::warn!(target_id = %self.settings.target, "fell_over");
+            // Requests that arrive between the fall and the end of the connections are part of the same fall.
+            batch.counts.fell_over += u64::from(!self.is_halted());
             self.halt(Command::Restart { down_ms: cold.down_ms });
         }
         drop(batch);
