--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -209,6 +209,22 @@
 
 fleet_entries() { fleet_addresses , "$FLEET_ENTRIES" fleet_entry_port 1; }
 
+# Prints processor time and memory of each role, and the most of any process of it.
+fleet_usage() {
+  local role pid file ticks
+  ticks=$(getconf CLK_TCK)
+  printf '%-10s %9s %10s %12s %12s\n' role processes 'cpu s' 'max cpu s' 'max rss MB'
+  for role in control entry engine service; do
+    for file in "$FLEET_DIR/$role"-*.pid; do
+      pid=$(cat "$file")
+      [ -r "/proc/$pid/stat" ] || continue
+      echo "$(awk '{ print $14 + $15 }' "/proc/$pid/stat") $(awk '/VmHWM/ { print $2 }' "/proc/$pid/status")"
+    done | awk -v role="$role" -v ticks="$ticks" '
+      { cpu += $1; if ($1 > most) most = $1; if ($2 > rss) rss = $2; count++ }
+      END { printf "%-10s %9d %10.1f %12.1f %12.1f\n", role, count, cpu / ticks, most / ticks, rss / 1024 }'
+  done
+}
+
 # Ends only the processes that fleet_start started.
 fleet_stop() {
   local pid
