Let an entry be ready only once targets take work, and split the home's ledger

Cause: after a start or a lost majority /readyz of an entry was 200 for about 6 s in which homes had not taken their targets over, and the balancer sent requests that got no_target. An entry is now ready with a lease and at least one target that takes work, or after 10 s with a lease, so that a fleet without targets still answers.

The clients for engines and services ignore proxies of the environment; a proxy would be asked for addresses that only the system knows.

--- a/crates/mulberry-entry/src/entry.rs
+++ b/crates/mulberry-entry/src/entry.rs
@@ -25,6 +25,10 @@
 use crate::settings::{EntrySettings, PlacementSetting};
 use crate::workspace_limits::WorkspaceLimits;
 
+/// Longest time for homes to take over their targets: settling, announcement, takeover and digest
+/// take about 6 s together.
+const TAKEOVER_MS: u64 = 10_000;
+
 /// Time after which a target asks again when its home cannot take the announcement.
 const NOT_HOME_RETRY_MS: u64 = 500;
 
@@ -181,7 +185,15 @@
         if effect != GrantEffect::Ignored {
             self.lease.update(|state, _| state.homes.settled(grant.settled_epoch));
         }
-        self.health.set_ready(self.lease.is_valid());
+    }
+
+    /// Decides whether the balancer may send requests, by the number of targets that take work.
+    ///
+    /// Homes need some seconds to take their targets over after a start or a lost majority. An entry
+    /// that knows of no target for longer than that is ready all the same and answers `no_target`.
+    pub fn update_readiness(&self, ready_targets: usize) {
+        let knows_targets = ready_targets > 0 || self.lease.valid_for_ms() >= TAKEOVER_MS;
+        self.health.set_ready(self.lease.is_valid() && knows_targets);
     }
 
     /// Gives up the lease and with it all homes.
--- a/crates/mulberry-entry/src/lease_state.rs
+++ b/crates/mulberry-entry/src/lease_state.rs
@@ -15,6 +15,9 @@
     clock: Clock,
     valid_until_ms: AtomicU64,
 
+    /// When the lease became valid after a time in which it was not.
+    valid_since_ms: AtomicU64,
+
     /// Whether the lease was valid at the last change, for the notice of its end.
     held: AtomicBool,
 
@@ -37,6 +40,7 @@
         LeaseState {
             clock,
             valid_until_ms: AtomicU64::new(0),
+            valid_since_ms: AtomicU64::new(0),
             held: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             membership: ArcSwap::from_pointee(Membership::default()),
@@ -51,9 +55,13 @@
     pub fn update<T>(&self, change: impl FnOnce(&mut LeaseAndHomes, u64) -> T) -> T {
         let mut inner = self.lock();
         let now_ms = self.clock.now_ms();
+        let was_valid = self.is_valid();
         let result = change(&mut inner, now_ms);
         let remaining_ms = if self.is_ended() { 0 } else { inner.lease.remaining_ms(now_ms) };
         let until_ms = if remaining_ms == 0 { 0 } else { now_ms + remaining_ms };
+        if !was_valid {
+            self.valid_since_ms.store(now_ms, Ordering::Release);
+        }
         self.valid_until_ms.store(until_ms, Ordering::Release);
         self.held.store(remaining_ms > 0, Ordering::Release);
         let newest = inner.homes.membership();
@@ -79,6 +87,14 @@
         self.remaining_ms() > 0
     }
 
+    /// For how long the lease has been valid without a gap.
+    pub fn valid_for_ms(&self) -> u64 {
+        if !self.is_valid() {
+            return 0;
+        }
+        self.clock.now_ms().saturating_sub(self.valid_since_ms.load(Ordering::Acquire))
+    }
+
     /// Whether the lease has run out since it was last changed. Says so once.
     pub fn has_just_expired(&self) -> bool {
         !self.is_valid() && self.held.swap(false, Ordering::AcqRel)
--- a/crates/mulberry-entry/src/timers.rs
+++ b/crates/mulberry-entry/src/timers.rs
@@ -91,6 +91,7 @@
     let view = entry.fleet.view();
     let ready = view.fresh_targets(now_ms).filter(|(_, target)| target.takes_work).count();
     entry.metrics.ready_targets.set(ready as i64);
+    entry.update_readiness(ready);
     let mut ledger = entry.ledger();
     ledger.long_prefill_cap_changed(cap);
     let counts = ledger.counts();
--- a/crates/mulberry-policy/src/lib.rs
+++ b/crates/mulberry-policy/src/lib.rs
@@ -22,6 +22,7 @@
 mod retry_budget;
 mod retry_decision;
 mod target_inventory;
+mod target_record;
 
 pub use admission::{Admission, AdmissionDecision, AdmissionRequest};
 pub use circuit_breaker::CircuitBreaker;
--- a/crates/mulberry-services/src/service_client.rs
+++ b/crates/mulberry-services/src/service_client.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use attohttpc::{ErrorKind, RequestBuilder};
+use attohttpc::{ErrorKind, ProxySettings, RequestBuilder};
 use mulberry_http::{Bytes, HeaderMap, Method, StatusCode};
 use mulberry_types::RequestId;
 
@@ -95,7 +95,9 @@
             .connect_timeout(Duration::from_millis(self.settings.connect_timeout_ms))
             .read_timeout(remaining)
             .timeout(remaining)
-            .follow_redirects(false);
+            .follow_redirects(false)
+            // A proxy of the environment would be asked for targets that only this system knows.
+            .proxy_settings(ProxySettings::builder().build());
         for (name, value) in &forwarded_headers(call.headers) {
             builder = builder.header_append(name, value.clone());
         }
--- a/crates/mulberry-targets/src/engine_client.rs
+++ b/crates/mulberry-targets/src/engine_client.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use attohttpc::{ErrorKind, RequestBuilder, Response};
+use attohttpc::{ErrorKind, ProxySettings, RequestBuilder, Response};
 use mulberry_types::{Fence, Priority, RequestId};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -248,6 +248,8 @@
             .connect_timeout(Duration::from_millis(self.settings.connect_timeout_ms))
             .read_timeout(read_timeout)
             .follow_redirects(false)
+            // A proxy of the environment would be asked for targets that only this system knows.
+            .proxy_settings(ProxySettings::builder().build())
     }
 }
 
