Refuse at the home what would wait longer than the entry expects

Cause: shorts had a p99 of 207 ms to first token, with and without longs beside them, against a p50 of 55 to 61 ms. Digests are up to 250 ms old, so several of the 8 entries choose the same idle engine and their prompts queue up at it.

Ruled out: long prompts as the cause, since the run without them has the same tail; more frequent digests, which cost bytes with the square of the entries.

A reservation now says for which expected time to first token the entry wants the target, by what the next candidate offers plus 20 ms. The home, which knows its queue exactly, refuses as busy beyond it, and the entry asks the next candidate; the last one is taken in any case.

The new test fails without the check.

--- a/crates/mulberry-entry/src/acquire.rs
+++ b/crates/mulberry-entry/src/acquire.rs
@@ -5,8 +5,8 @@
 
 use mulberry_callers::{CallerError, ErrorCode, Outcome};
 use mulberry_policy::{
-    Backoff, Candidate, NoCandidateReason, PlacementClass, PlacementRequest, QueuedRequest,
-    Ranking, SplitPlan, SplitRefused, engine_priority,
+    Backoff, Candidate, NoCandidateReason, PlacementClass, PlacementPolicy, PlacementRequest,
+    QueuedRequest, Ranking, SplitPlan, SplitRefused, engine_priority,
 };
 use mulberry_types::{LengthClass, RefuseReason, ReleaseOutcome, Reserve};
 
@@ -25,6 +25,10 @@
 /// First and longest range of the random pause between two attempts to reserve several engines.
 const SPLIT_BACKOFF_MS: (u64, u64) = (20, 500);
 
+/// A target may be this much slower than expected before the next one is asked: about the error of
+/// the estimate, and more than the round trip to another home.
+const WAIT_SLACK_MS: u64 = 20;
+
 /// Segments are cut between characters, which can make one of them a token longer than planned.
 const CUT_SLACK_TOKENS: u64 = 1;
 
@@ -178,7 +182,7 @@
 
 fn ask_candidates(entry: &Entry, job: &Job, ask: &Ask, candidates: &[Candidate]) -> Turn {
     let mut pause_ms = MAX_PAUSE_MS;
-    for candidate in candidates {
+    for (index, candidate) in candidates.iter().enumerate() {
         let reserve = Reserve {
             request: entry.next_request_id(),
             target: candidate.target.clone(),
@@ -187,6 +191,7 @@
             total_tokens: total_tokens(ask),
             priority: engine_priority(job.priority, ask.prompt_tokens),
             remaining_ms: job.remaining_ms(),
+            max_first_token_ms: max_first_token_ms(entry, candidate, candidates.get(index + 1)),
         };
         match entry.rooms.reserve(entry, candidate, reserve) {
             Ok(room) => return Turn::Acquired(Acquired::One(room)),
@@ -196,6 +201,19 @@
     Turn::Again { pause_ms }
 }
 
+/// Longest expected time to first token at a candidate for which the next one is not better.
+fn max_first_token_ms(entry: &Entry, this: &Candidate, next: Option<&Candidate>) -> Option<u64> {
+    let next = next?;
+    match entry.placement_policy() {
+        PlacementPolicy::ExpectedTime => {
+            let longest_ms = this.expected_first_token_ms.max(next.expected_first_token_ms);
+            Some(longest_ms + WAIT_SLACK_MS)
+        }
+        // The baselines take what they are given.
+        PlacementPolicy::RoundRobin | PlacementPolicy::LeastReportedLoad => None,
+    }
+}
+
 /// Reserves all engines of a plan, or none: nothing waits while it holds a reservation, so two
 /// prompts that need each other's engines cannot block each other.
 fn ask_all(entry: &Entry, job: &Job, plan: SplitPlan, backoff: &mut Backoff) -> Turn {
@@ -216,6 +234,7 @@
             total_tokens: segment.total_tokens + CUT_SLACK_TOKENS,
             priority: engine_priority(job.priority, segment.prompt_tokens),
             remaining_ms: job.remaining_ms(),
+            max_first_token_ms: None,
         };
         match entry.rooms.reserve(entry, &candidate, reserve) {
             Ok(room) => rooms.push(room),
--- a/crates/mulberry-entry/src/rooms.rs
+++ b/crates/mulberry-entry/src/rooms.rs
@@ -230,6 +230,7 @@
         RefuseReason::ColdRamp => "cold_ramp",
         RefuseReason::LongPrefillCap => "long_prefill_cap",
         RefuseReason::BreakerOpen => "breaker_open",
+        RefuseReason::Busy => "busy",
         RefuseReason::DeadlineTooShort => "deadline_too_short",
     }
 }
--- a/crates/mulberry-policy/examples/cost.rs
+++ b/crates/mulberry-policy/examples/cost.rs
@@ -172,6 +172,7 @@
         total_tokens: 2_000,
         priority: Priority::Normal,
         remaining_ms: 60_000,
+        max_first_token_ms: None,
     };
     // The targets are found busy, so that the ramp does not limit the load.
     for index in 0..targets {
--- a/crates/mulberry-policy/src/home_ledger.rs
+++ b/crates/mulberry-policy/src/home_ledger.rs
@@ -212,6 +212,7 @@
                 return Err(refused(RefuseReason::LongPrefillCap, retry_after_ms));
             }
             record.check_room(id, reserve)?;
+            record.check_wait(now_ms, reserve)?;
             record.breaker.work_given(now_ms);
         }
         record.insert(now_ms, id, reserve);
--- a/crates/mulberry-policy/src/target_record.rs
+++ b/crates/mulberry-policy/src/target_record.rs
@@ -313,6 +313,20 @@
         Ok(())
     }
 
+    /// Refuses a request that expects less to wait here than does. Digests are up to 250 ms old, and
+    /// entries that all see the same idle target would otherwise queue up at it.
+    pub(crate) fn check_wait(&self, now_ms: u64, reserve: &Reserve) -> Result<(), Refused> {
+        let Some(max_first_token_ms) = reserve.max_first_token_ms else { return Ok(()) };
+        let queued = self.queued_prompt_tokens(now_ms);
+        let ahead = crate::fleet_view::tokens_ahead(&queued, reserve.priority);
+        let speed = self.cost.tokens_per_s(self.announcement.prefill_tokens_per_s);
+        let expected_ms = CostModel::estimate_ms(speed, ahead, reserve.prompt_tokens);
+        if expected_ms > max_first_token_ms {
+            return Err(refused(RefuseReason::Busy, MIN_RETRY_MS));
+        }
+        Ok(())
+    }
+
     pub(crate) fn insert(&mut self, now_ms: u64, id: ReservationId, reserve: &Reserve) {
         let unmatched = self.unmatched.len();
         self.unmatched.retain(|_, unmatched| unmatched.reservation != Some(id));
--- a/crates/mulberry-policy/tests/common/mod.rs
+++ b/crates/mulberry-policy/tests/common/mod.rs
@@ -55,6 +55,7 @@
         total_tokens: total,
         priority: Priority::Normal,
         remaining_ms: 60_000,
+        max_first_token_ms: None,
     }
 }
 
--- a/crates/mulberry-policy/tests/home_ledger.rs
+++ b/crates/mulberry-policy/tests/home_ledger.rs
@@ -11,7 +11,7 @@
 };
 use mulberry_types::{
     Configuration, Incarnation, LoadReport, MembershipEpoch, NodeId, RefuseReason, Release,
-    ReleaseOutcome, RequestId, TargetOverride, TargetState, Zone, ZoneState,
+    ReleaseOutcome, RequestId, Reserve, TargetOverride, TargetState, Zone, ZoneState,
 };
 
 fn ledger() -> HomeLedger {
@@ -201,6 +201,20 @@
     assert!(ledger.digest(1_520).targets[0].long_prefill);
 }
 
+/// Guards against entries that all see the same idle target in old digests and queue up at it.
+#[test]
+fn request_that_expects_a_shorter_wait_is_refused_as_busy() {
+    let mut ledger = warmed(8);
+    let with_limit = |counter, max_first_token_ms| Reserve {
+        max_first_token_ms,
+        ..reserve("e", request(2, counter), 2_000, 2_100)
+    };
+    ledger.reserve(1_600, &with_limit(1, Some(300))).unwrap();
+    let refused = ledger.reserve(1_600, &with_limit(2, Some(300))).unwrap_err();
+    assert_eq!(refused.reason, RefuseReason::Busy);
+    assert!(ledger.reserve(1_600, &with_limit(2, None)).is_ok());
+}
+
 /// Guards against a fleet without other traffic that never serves a long prompt, because only
 /// successes open the ramp.
 #[test]
--- a/crates/mulberry-types/src/home_messages.rs
+++ b/crates/mulberry-types/src/home_messages.rs
@@ -54,6 +54,10 @@
 
     /// Time that is left until the request's deadline.
     pub remaining_ms: u64,
+
+    /// Longest expected time to first token for which the sender wants this target; it knows another
+    /// one that is expected to take about as long. `None` if it wants this target in any case.
+    pub max_first_token_ms: Option<u64>,
 }
 
 /// Room on a target, held until it is released or not extended for `expires_in_ms`.
@@ -114,6 +118,9 @@
     /// The circuit breaker of the target is open.
     BreakerOpen,
 
+    /// More prompts wait at the target than the sender knew of.
+    Busy,
+
     /// The request cannot finish before its deadline.
     DeadlineTooShort,
 }
