Test deadlines at frozen engines, refusals at once and leaving engines

Cause: three promises had no trial of their own: an answer by the deadline when engines go silent, a refusal at once of what cannot finish, and no new work on an engine that leaves.

Trials, each mechanism broken for one run and restored: - engine calls with 20 s more than the deadline: the answer at frozen engines comes after more than 2,000 ms. - every request admitted: the refusal is no_capacity instead of deadline_too_short, from the queue instead of the admission. - leaving ignored by the home: the leaving engine runs requests.

--- a/crates/mulberry-entry/tests/completions.rs
+++ b/crates/mulberry-entry/tests/completions.rs
@@ -215,3 +215,55 @@
     });
     fleet.wait_until_served();
 }
+
+/// Guards against requests that outlive their deadline because their engine has gone silent.
+#[test]
+fn request_at_frozen_engines_fails_by_its_deadline() {
+    let fleet = two_engines();
+    for engine in &fleet.engines {
+        engine.inject(&Fault::Freeze { ms: 8_000 });
+    }
+    let url = format!("http://{}/v1/completions", fleet.entries[0].caller_address());
+    let body = serde_json::json!({"model": MODEL, "prompt": "p", "max_tokens": 5});
+    let started = Instant::now();
+    let answer = send(attohttpc::post(url).header("x-deadline-ms", "1500"), &body.to_string());
+    // The bound is the deadline and 500 ms.
+    assert!(started.elapsed() < Duration::from_millis(2_000), "{:?}", started.elapsed());
+    assert_eq!((answer.status, answer.error_code().as_str()), (504, "deadline_exceeded"));
+    assert_eq!(answer.outcome(), "unknown");
+}
+
+/// Guards against a refusal that is held back until near the deadline.
+#[test]
+fn request_that_cannot_finish_in_time_is_refused_at_once() {
+    let slow = standin_engine::EngineSettings {
+        prefill_tokens_per_s: 10_000,
+        ..engine("engine-1", "zone-a")
+    };
+    let fleet = Fleet::start(1, vec![slow]);
+    let url = format!("http://{}/v1/completions", fleet.entries[0].caller_address());
+    let body = serde_json::json!({"model": MODEL, "prompt": prompt(200_000, 1), "max_tokens": 5});
+    let started = Instant::now();
+    let answer = send(attohttpc::post(url).header("x-deadline-ms", "10000"), &body.to_string());
+    assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
+    assert_eq!((answer.status, answer.error_code().as_str()), (503, "deadline_too_short"));
+    assert_eq!(answer.outcome(), "not_run");
+}
+
+/// Guards against new work on an engine that has announced that it leaves.
+#[test]
+fn leaving_engine_gets_no_new_work() {
+    let fleet = two_engines();
+    let runs = || fleet.engines[1].accounting()["runs"].as_object().map_or(0, serde_json::Map::len);
+    std::thread::scope(|scope| {
+        scope.spawn(|| fleet.engines[1].leave(PATIENCE));
+        // One announcement, one digest and some room for a busy machine; "a few seconds" is allowed.
+        std::thread::sleep(Duration::from_secs(3));
+        let before = runs();
+        for seed in 0..20 {
+            let address = fleet.entries[seed as usize % 2].caller_address();
+            ask_rightly(address, &prompt(200, seed), 5);
+        }
+        assert_eq!(runs(), before, "the leaving engine ran something");
+    });
+}
