Give room and turns back when a handler panics

Cause: found by reading. A handler that panics between reserving and releasing would have left its room in the table of this entry, which extends it for ever, and a panic during a turn would have used up one of the eight turns. The HTTP client is known to panic when a cut chunked body is read again.

Room and turns are now values that are given back when they are dropped. Not shown by a test: no path is known on which a handler panics today.

--- a/crates/mulberry-entry/src/acquire.rs
+++ b/crates/mulberry-entry/src/acquire.rs
@@ -13,7 +13,7 @@
 use crate::dispatcher::Waited;
 use crate::entry::Entry;
 use crate::job::{Job, stale_configuration};
-use crate::rooms::Room;
+use crate::rooms::HeldRoom;
 
 /// Cost of a call of a plain service in the fair queue, in tokens.
 const PLAIN_CALL_COST_TOKENS: u64 = 1_000;
@@ -48,12 +48,12 @@
 
 /// Room for one attempt.
 #[derive(Debug)]
-pub enum Acquired {
+pub enum Acquired<'e> {
     /// On one target.
-    One(Arc<Room>),
+    One(HeldRoom<'e>),
 
     /// On several engines, in the order of the plan.
-    Split { plan: SplitPlan, rooms: Vec<Arc<Room>> },
+    Split { plan: SplitPlan, rooms: Vec<HeldRoom<'e>> },
 }
 
 /// Why there is no room.
@@ -64,8 +64,8 @@
 }
 
 /// Result of one turn.
-enum Turn {
-    Acquired(Acquired),
+enum TurnResult<'e> {
+    Acquired(Acquired<'e>),
     Again { pause_ms: u64 },
     Failed(CallerError),
 }
@@ -76,13 +76,13 @@
 ///
 /// # Errors
 /// The caller went away, the deadline cannot be met, or no target can ever take the request.
-pub fn acquire(
-    entry: &Entry,
+pub fn acquire<'e>(
+    entry: &'e Entry,
     job: &Job,
     ask: &Ask,
     outcome: Outcome,
     caller_is_gone: impl Fn() -> bool,
-) -> Result<Acquired, NotAcquired> {
+) -> Result<Acquired<'e>, NotAcquired> {
     let queued_ms = entry.clock.at_ms(job.started);
     let (base_ms, max_ms) = SPLIT_BACKOFF_MS;
     let mut backoff = Backoff::new(job.id.counter ^ job.id.incarnation.0, base_ms, max_ms);
@@ -90,21 +90,22 @@
         if !entry.lease.is_valid() {
             return Err(NotAcquired::Failed(stale_configuration(outcome)));
         }
-        match entry.dispatcher.wait(entry, queued(entry, job, ask, queued_ms), &caller_is_gone) {
-            Waited::Turn => {}
+        let queued = queued(entry, job, ask, queued_ms);
+        let turn = match entry.dispatcher.wait(entry, queued, &caller_is_gone) {
+            Waited::Turn(turn) => turn,
             Waited::CallerGone => return Err(NotAcquired::CallerGone),
             Waited::Late => return Err(NotAcquired::Failed(late(outcome))),
             Waited::Full(full) => {
                 let error = no_capacity(outcome, full.retry_after_ms);
                 return Err(NotAcquired::Failed(error));
             }
-        }
-        let turn = take_turn(entry, job, ask, outcome, &mut backoff);
-        entry.dispatcher.turn_done(entry);
-        match turn {
-            Turn::Acquired(acquired) => return Ok(acquired),
-            Turn::Failed(error) => return Err(NotAcquired::Failed(error)),
-            Turn::Again { pause_ms } => {
+        };
+        let result = take_turn(entry, job, ask, outcome, &mut backoff);
+        drop(turn);
+        match result {
+            TurnResult::Acquired(acquired) => return Ok(acquired),
+            TurnResult::Failed(error) => return Err(NotAcquired::Failed(error)),
+            TurnResult::Again { pause_ms } => {
                 let pause_ms = pause_ms.clamp(MIN_PAUSE_MS, MAX_PAUSE_MS).min(job.remaining_ms());
                 std::thread::sleep(Duration::from_millis(pause_ms));
             }
@@ -136,7 +137,13 @@
     }
 }
 
-fn take_turn(entry: &Entry, job: &Job, ask: &Ask, outcome: Outcome, backoff: &mut Backoff) -> Turn {
+fn take_turn<'e>(
+    entry: &'e Entry,
+    job: &Job,
+    ask: &Ask,
+    outcome: Outcome,
+    backoff: &mut Backoff,
+) -> TurnResult<'e> {
     let configuration = entry.configuration.current().configuration.clone();
     let request = PlacementRequest {
         request: entry.next_request_id(),
@@ -162,17 +169,17 @@
         Ranking::Nothing { reason: NoCandidateReason::BeyondOneEngine, .. } => {
             match entry.placement.plan_split(now_ms, &request, &view, &configuration) {
                 Ok(plan) => ask_all(entry, job, plan, backoff),
-                Err(SplitRefused::Full { retry_after_ms }) => {
-                    Turn::Again { pause_ms: retry_after_ms.min(backoff.next_ms() + MIN_PAUSE_MS) }
-                }
-                Err(SplitRefused::NeverFits) => Turn::Failed(CallerError::new(
+                Err(SplitRefused::Full { retry_after_ms }) => TurnResult::Again {
+                    pause_ms: retry_after_ms.min(backoff.next_ms() + MIN_PAUSE_MS),
+                },
+                Err(SplitRefused::NeverFits) => TurnResult::Failed(CallerError::new(
                     ErrorCode::PromptTooLong,
                     outcome,
                     "the prompt is longer than all engines of this model hold; shorten it",
                 )),
             }
         }
-        Ranking::Nothing { retry_after_ms, .. } => Turn::Again { pause_ms: retry_after_ms },
+        Ranking::Nothing { retry_after_ms, .. } => TurnResult::Again { pause_ms: retry_after_ms },
     }
 }
 
@@ -180,7 +187,12 @@
     matches!(ranking, Ranking::Nothing { reason: NoCandidateReason::NoneReady, .. })
 }
 
-fn ask_candidates(entry: &Entry, job: &Job, ask: &Ask, candidates: &[Candidate]) -> Turn {
+fn ask_candidates<'e>(
+    entry: &'e Entry,
+    job: &Job,
+    ask: &Ask,
+    candidates: &[Candidate],
+) -> TurnResult<'e> {
     let mut pause_ms = MAX_PAUSE_MS;
     for (index, candidate) in candidates.iter().enumerate() {
         let reserve = Reserve {
@@ -194,11 +206,11 @@
             max_first_token_ms: max_first_token_ms(entry, candidate, candidates.get(index + 1)),
         };
         match entry.rooms.reserve(entry, candidate, reserve) {
-            Ok(room) => return Turn::Acquired(Acquired::One(room)),
+            Ok(room) => return TurnResult::Acquired(Acquired::One(room)),
             Err(refused) => pause_ms = pause_ms.min(refused.retry_after_ms),
         }
     }
-    Turn::Again { pause_ms }
+    TurnResult::Again { pause_ms }
 }
 
 /// Longest expected time to first token at a candidate for which the next one is not better.
@@ -216,8 +228,13 @@
 
 /// Reserves all engines of a plan, or none: nothing waits while it holds a reservation, so two
 /// prompts that need each other's engines cannot block each other.
-fn ask_all(entry: &Entry, job: &Job, plan: SplitPlan, backoff: &mut Backoff) -> Turn {
-    let mut rooms: Vec<Arc<Room>> = Vec::with_capacity(plan.segments.len());
+fn ask_all<'e>(
+    entry: &'e Entry,
+    job: &Job,
+    plan: SplitPlan,
+    backoff: &mut Backoff,
+) -> TurnResult<'e> {
+    let mut rooms: Vec<HeldRoom<'e>> = Vec::with_capacity(plan.segments.len());
     for segment in &plan.segments {
         let candidate = Candidate {
             target: segment.target.clone(),
@@ -239,18 +256,18 @@
         match entry.rooms.reserve(entry, &candidate, reserve) {
             Ok(room) => rooms.push(room),
             Err(refused) => {
-                for room in &rooms {
-                    entry.rooms.release(entry, room, ReleaseOutcome::Unused, None);
+                for room in rooms {
+                    room.release(ReleaseOutcome::Unused, None);
                 }
                 let pause_ms = match refused.reason {
                     RefuseReason::NotHome | RefuseReason::LeaseLost => refused.retry_after_ms,
                     _ => backoff.next_ms(),
                 };
-                return Turn::Again { pause_ms };
+                return TurnResult::Again { pause_ms };
             }
         }
     }
-    Turn::Acquired(Acquired::Split { plan, rooms })
+    TurnResult::Acquired(Acquired::Split { plan, rooms })
 }
 
 fn total_tokens(ask: &Ask) -> u64 {
--- a/crates/mulberry-entry/src/completion.rs
+++ b/crates/mulberry-entry/src/completion.rs
@@ -16,7 +16,7 @@
 use crate::entry::Entry;
 use crate::in_force::InForce;
 use crate::job::{Job, check_may_start};
-use crate::rooms::Room;
+use crate::rooms::{HeldRoom, Room};
 use crate::split::prefill_segments;
 
 /// Bytes at the start of a prompt that decide its prefix; shorter prompts have none worth keeping.
@@ -170,28 +170,28 @@
     }
 
     /// Runs one attempt and releases its room. Returns the target that failed, if one did.
-    fn attempt(&mut self, acquired: Acquired) -> (AttemptEnd, Option<Arc<str>>) {
+    fn attempt(&mut self, acquired: Acquired<'_>) -> (AttemptEnd, Option<Arc<str>>) {
         match acquired {
             Acquired::One(room) => {
                 let body = self.completion.engine_body();
                 let (end, first_token_ms) =
                     self.stream(&room, self.completion.endpoint, &body, &[]);
-                self.entry.rooms.release(self.entry, &room, release_outcome(&end), first_token_ms);
                 let target = room.reserve.target.clone();
+                room.release(release_outcome(&end), first_token_ms);
                 let is_failure = matches!(end, AttemptEnd::Failed(_));
                 (end, is_failure.then_some(target))
             }
-            Acquired::Split { plan, rooms } => self.split_attempt(&plan, &rooms),
+            Acquired::Split { plan, rooms } => self.split_attempt(&plan, rooms),
         }
     }
 
     fn split_attempt(
         &mut self,
         plan: &mulberry_policy::SplitPlan,
-        rooms: &[Arc<Room>],
+        rooms: Vec<HeldRoom<'_>>,
     ) -> (AttemptEnd, Option<Arc<str>>) {
         let prefilled =
-            prefill_segments(self.entry, self.job, &self.completion.prompt, plan, rooms);
+            prefill_segments(self.entry, self.job, &self.completion.prompt, plan, &rooms);
         let (end, failed_target) = match (&prefilled.failure, rooms.last()) {
             (None, Some(last)) => {
                 let body = self.completion.last_segment_body(prefilled.last_text);
@@ -209,7 +209,7 @@
                 Some(_) => ReleaseOutcome::Cancelled,
                 None => release_outcome(&end),
             };
-            self.entry.rooms.release(self.entry, room, outcome, None);
+            room.release(outcome, None);
         }
         (end, failed_target)
     }
--- a/crates/mulberry-entry/src/dispatcher.rs
+++ b/crates/mulberry-entry/src/dispatcher.rs
@@ -23,10 +23,10 @@
 const CALLER_POLL: Duration = Duration::from_millis(50);
 
 /// Why a wait for a turn ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Waited {
-    /// It is this request's turn.
-    Turn,
+#[derive(Debug)]
+pub enum Waited<'e> {
+    /// It is this request's turn, until the value is dropped.
+    Turn(Turn<'e>),
 
     /// The deadline can no longer be met.
     Late,
@@ -38,6 +38,18 @@
     Full(QueueFull),
 }
 
+/// The right to ask homes for room. Dropping it lets the next request ask.
+#[derive(Debug)]
+pub struct Turn<'e> {
+    entry: &'e Entry,
+}
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        self.entry.dispatcher.turn_done(self.entry);
+    }
+}
+
 /// Queue of one entry with the turns that are out.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -69,13 +81,13 @@
         self.closed.load(Ordering::Acquire)
     }
 
-    /// Waits for the turn of a request. After [`Waited::Turn`] call [`Dispatcher::turn_done`].
-    pub fn wait(
+    /// Waits for the turn of a request.
+    pub fn wait<'e>(
         &self,
-        entry: &Entry,
+        entry: &'e Entry,
         queued: QueuedRequest,
         caller_is_gone: impl Fn() -> bool,
-    ) -> Waited {
+    ) -> Waited<'e> {
         let request = queued.request;
         let turn = match self.push(queued) {
             Ok(turn) => turn,
@@ -84,7 +96,7 @@
         self.pump(entry);
         loop {
             match turn.recv_timeout(CALLER_POLL) {
-                Ok(true) => return Waited::Turn,
+                Ok(true) => return Waited::Turn(Turn { entry }),
                 Ok(false) | Err(RecvTimeoutError::Disconnected) => return Waited::Late,
                 Err(RecvTimeoutError::Timeout) if caller_is_gone() => {
                     if self.remove(request) {
@@ -97,8 +109,7 @@
         }
     }
 
-    /// Gives a turn back.
-    pub fn turn_done(&self, entry: &Entry) {
+    fn turn_done(&self, entry: &Entry) {
         self.lock().turns_out -= 1;
         self.pump(entry);
     }
--- a/crates/mulberry-entry/src/rooms.rs
+++ b/crates/mulberry-entry/src/rooms.rs
@@ -1,6 +1,7 @@
 //! Room that this entry holds on targets, kept alive at their homes.
 
 use std::collections::{BTreeMap, HashMap};
+use std::ops::Deref;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -27,6 +28,39 @@
     hold: Mutex<ReservationHold>,
 }
 
+/// Room that is given back when it is dropped, so that a panic in a handler does not leave it taken.
+#[derive(Debug)]
+pub struct HeldRoom<'e> {
+    entry: &'e Entry,
+    room: Arc<Room>,
+    released: bool,
+}
+
+impl HeldRoom<'_> {
+    /// Gives the room back and says how its work ended.
+    pub fn release(mut self, outcome: ReleaseOutcome, first_token_ms: Option<u64>) {
+        self.released = true;
+        self.entry.rooms.release(self.entry, &self.room, outcome, first_token_ms);
+    }
+}
+
+impl Deref for HeldRoom<'_> {
+    type Target = Room;
+
+    fn deref(&self) -> &Room {
+        &self.room
+    }
+}
+
+impl Drop for HeldRoom<'_> {
+    fn drop(&mut self) {
+        if !self.released {
+            let outcome = ReleaseOutcome::Cancelled;
+            self.entry.rooms.release(self.entry, &self.room, outcome, None);
+        }
+    }
+}
+
 /// All rooms that this entry holds.
 #[derive(Debug, Default)]
 pub struct RoomTable {
@@ -49,12 +83,12 @@
     ///
     /// # Errors
     /// The home refuses or cannot be reached.
-    pub fn reserve(
+    pub fn reserve<'e>(
         &self,
-        entry: &Entry,
+        entry: &'e Entry,
         candidate: &Candidate,
         reserve: Reserve,
-    ) -> Result<Arc<Room>, Refused> {
+    ) -> Result<HeldRoom<'e>, Refused> {
         let in_flight = entry.fleet.view().in_flight().clone();
         let sent_ms = entry.clock.now_ms();
         in_flight.started(sent_ms, &reserve);
@@ -73,7 +107,7 @@
                 let hold = Mutex::new(ReservationHold::new(sent_ms));
                 let room = Arc::new(Room { reserve, reserved, hold });
                 self.lock().insert(id, room.clone());
-                Ok(room)
+                Ok(HeldRoom { entry, room, released: false })
             }
             Err(refused) => {
                 in_flight.ended(reserve.request, &reserve.target);
@@ -84,8 +118,7 @@
         }
     }
 
-    /// Gives room back.
-    pub fn release(
+    fn release(
         &self,
         entry: &Entry,
         room: &Room,
--- a/crates/mulberry-entry/src/service_call.rs
+++ b/crates/mulberry-entry/src/service_call.rs
@@ -1,6 +1,5 @@
 //! One call of a plain service.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use mulberry_callers::{CallerError, ErrorCode, Outcome};
@@ -14,7 +13,7 @@
 use crate::claims::{Claim, Claimed, Claims, stored_answer};
 use crate::entry::Entry;
 use crate::job::{Job, check_may_start};
-use crate::rooms::Room;
+use crate::rooms::HeldRoom;
 
 /// First and longest range of the random pause before a retry.
 const RETRY_BACKOFF_MS: (u64, u64) = (10, 500);
@@ -163,29 +162,30 @@
                 Ok(Acquired::Split { .. }) => continue,
                 Err(not_acquired) => return not_run_end(outcome, not_acquired),
             };
-            let error = match self.attempt(&room) {
+            let target = room.reserve.target.clone();
+            let error = match self.attempt(room) {
                 Ok(Some(answer)) => return CallEnd::Answered(answer),
                 Ok(None) => continue,
                 Err(error) => error,
             };
-            tracing::warn!(request = %self.job.id, target = %room.reserve.target, %error, "attempt_failed");
+            tracing::warn!(request = %self.job.id, %target, %error, "attempt_failed");
             if !matches!(error, ServiceError::NotSent { .. }) && outcome == Outcome::NotRun {
                 outcome = Outcome::Unknown;
             }
             if let Some(end) = self.after_failure(&error, outcome) {
                 return end;
             }
-            ask.excluded.push(room.reserve.target.clone());
+            ask.excluded.push(target);
             let pause_ms = backoff.next_ms().min(self.job.remaining_ms());
             std::thread::sleep(Duration::from_millis(pause_ms));
         }
     }
 
     /// Makes one attempt. `None` if the room was lost before anything was sent.
-    fn attempt(&self, room: &Arc<Room>) -> Result<Option<ServiceAnswer>, ServiceError> {
+    fn attempt(&self, room: HeldRoom<'_>) -> Result<Option<ServiceAnswer>, ServiceError> {
         // Checked last before the first byte: a process that was frozen has lost its lease.
         if !room.may_start(self.entry) {
-            self.entry.rooms.release(self.entry, room, ReleaseOutcome::Unused, None);
+            room.release(ReleaseOutcome::Unused, None);
             return Ok(None);
         }
         let result = self.entry.services.call(&ServiceCall {
@@ -205,7 +205,7 @@
             Err(_) if self.job.remaining_ms() == 0 => ReleaseOutcome::Cancelled,
             Err(_) => ReleaseOutcome::Failed,
         };
-        self.entry.rooms.release(self.entry, room, outcome, None);
+        room.release(outcome, None);
         result.map(Some)
     }
 
--- a/crates/mulberry-entry/src/split.rs
+++ b/crates/mulberry-entry/src/split.rs
@@ -8,7 +8,7 @@
 
 use crate::entry::Entry;
 use crate::job::Job;
-use crate::rooms::Room;
+use crate::rooms::{HeldRoom, Room};
 
 /// Bytes per token by which a plan is cut.
 const BYTES_PER_TOKEN: u64 = 4;
@@ -43,7 +43,7 @@
     job: &Job,
     prompt: &'a str,
     plan: &SplitPlan,
-    rooms: &[Arc<Room>],
+    rooms: &[HeldRoom<'_>],
 ) -> Prefilled<'a> {
     let mut texts = cut(prompt, plan);
     let last_text = texts.pop().unwrap_or_default();
