Mend a race in the emulated control of the entry's tests

Cause: bookings_under_one_key_race_and_one_runs failed in 1 of 13 runs of the crate, and in 3 of 180 runs of its own beside five others: one of six callers got control_unavailable. The emulated control drew the index of a command before it took the lock, so a command could be applied after a later one and was skipped as already applied. The index is now taken under the lock.

Ruled out: the claims of the entry, whose answer to a reply that is no claim is right.

Lines about reservations and segments carry the id of their request, and an empty prompt counts as one token, because reservations without tokens are for plain services.

--- a/crates/mulberry-callers/src/completion_request.rs
+++ b/crates/mulberry-callers/src/completion_request.rs
@@ -144,9 +144,9 @@
         })
     }
 
-    /// Estimated tokens of the prompt.
+    /// Estimated tokens of the prompt, at least 1: reservations without tokens are for plain services.
     pub fn prompt_tokens(&self) -> u64 {
-        estimate_tokens(self.prompt.len() as u64)
+        estimate_tokens(self.prompt.len() as u64).max(1)
     }
 
     /// Body for an engine: the caller's fields, always streamed.
--- a/crates/mulberry-entry/src/rooms.rs
+++ b/crates/mulberry-entry/src/rooms.rs
@@ -172,6 +172,10 @@
             Some(HomeReply::Refused(refused)) => Err(refused),
             Some(_) => Err(unreachable_home()),
             None => {
+                tracing::warn!(
+                    attempt = %reserve.request, target = %reserve.target, home = %home.node,
+                    "reserve_not_answered"
+                );
                 // The home may have granted it without its answer arriving.
                 release(entry, reserve, ReleaseOutcome::Unused, None);
                 Err(unreachable_home())
@@ -240,7 +244,7 @@
         .call(&request, HOME_TIMEOUT)
         .inspect_err(|error| {
             let waited_ms = started.elapsed().as_millis() as u64;
-            tracing::warn!(home = %home.node, %error, waited_ms, "home_call_failed");
+            tracing::debug!(home = %home.node, %error, waited_ms, "home_call_failed");
         })
         .ok()
 }
--- a/crates/mulberry-entry/src/split.rs
+++ b/crates/mulberry-entry/src/split.rs
@@ -5,6 +5,7 @@
 
 use mulberry_policy::SplitPlan;
 use mulberry_targets::{EngineError, Segment, SegmentCall};
+use mulberry_types::RequestId;
 
 use crate::entry::Entry;
 use crate::job::Job;
@@ -16,6 +17,9 @@
 /// Segments of one prompt. Call [`Prefilled::free`] on every way out.
 #[derive(Debug)]
 pub struct Prefilled<'a> {
+    /// Request that the segments belong to, for the log.
+    request: RequestId,
+
     /// In the order of the prompt.
     pub segments: Vec<Segment>,
 
@@ -31,7 +35,9 @@
     pub fn free(&self, entry: &Entry) {
         for segment in &self.segments {
             if let Err(error) = entry.engines.free_segment(segment) {
-                tracing::warn!(address = %segment.address, %error, "segment_not_freed");
+                tracing::warn!(
+                    request = %self.request, address = %segment.address, %error, "segment_not_freed"
+                );
             }
         }
     }
@@ -61,7 +67,8 @@
             .map(|thread| thread.join().unwrap_or_else(|_| Err(panicked())))
             .collect()
     });
-    let mut prefilled = Prefilled { segments: Vec::new(), last_text, failure: None };
+    let mut prefilled =
+        Prefilled { request: job.id, segments: Vec::new(), last_text, failure: None };
     for (result, room) in results.into_iter().zip(rooms) {
         match result {
             Ok(segment) => prefilled.segments.push(segment),
--- a/crates/mulberry-entry/tests/common/mod.rs
+++ b/crates/mulberry-entry/tests/common/mod.rs
@@ -40,7 +40,6 @@
     state: Mutex<FleetState>,
     applied_epochs: Mutex<BTreeMap<NodeId, MembershipEpoch>>,
     silent: AtomicBool,
-    index: AtomicU64,
 }
 
 impl FakeControl {
@@ -49,7 +48,6 @@
             state: Mutex::new(FleetState::new(StateLimits::default())),
             applied_epochs: Mutex::default(),
             silent: AtomicBool::new(false),
-            index: AtomicU64::new(1),
         });
         let handler = shared.clone();
         let server = PeerServer::start(
@@ -76,7 +74,7 @@
     pub fn change(&self, operations: Vec<ChangeOperation>) {
         let mut state = self.shared.state.lock().unwrap();
         let before = state.version();
-        let index = self.shared.next_index();
+        let index = state.applied_index() + 1;
         let change = Change {
             id: ChangeId(format!("change-{index}").into()),
             operator: "test".into(),
@@ -92,18 +90,17 @@
 }
 
 impl Shared {
-    fn next_index(&self) -> u64 {
-        self.index.fetch_add(1, Ordering::SeqCst)
-    }
-
     fn answer(&self, request: ControlRequest) -> Option<ControlReply> {
         if self.silent.load(Ordering::SeqCst) {
             return None;
         }
-        let index = self.next_index();
+        // The index is taken under the lock: a command with an index below the last applied one is
+        // skipped, as after a restart.
+        let mut state = self.state.lock().unwrap();
+        let index = state.applied_index() + 1;
         let now_ms = index;
         let command = match request {
-            ControlRequest::Renew(renew) => return Some(self.renew(index, &renew)),
+            ControlRequest::Renew(renew) => return Some(self.renew(&mut state, &renew)),
             ControlRequest::Leave { node, incarnation } => {
                 self.applied_epochs.lock().unwrap().remove(&node);
                 Command::Leave { now_ms, node, incarnation }
@@ -124,15 +121,15 @@
                 Command::TakePermit { now_ms, target, bytes }
             }
         };
-        match self.state.lock().unwrap().apply(index, &command) {
+        match state.apply(index, &command) {
             Reply::Claim(reply) => Some(ControlReply::Claim(reply)),
             Reply::Permit(permit) => Some(ControlReply::Permit(permit)),
             _ => Some(ControlReply::Done),
         }
     }
 
-    fn renew(&self, index: u64, renew: &Renew) -> ControlReply {
-        let mut state = self.state.lock().unwrap();
+    fn renew(&self, state: &mut FleetState, renew: &Renew) -> ControlReply {
+        let index = state.applied_index() + 1;
         state.apply(index, &Command::Join { now_ms: index, member: renew.member.clone() });
         let mut applied = self.applied_epochs.lock().unwrap();
         applied.insert(renew.member.node, renew.have_epoch);
--- a/crates/mulberry-entry/tests/completions.rs
+++ b/crates/mulberry-entry/tests/completions.rs
@@ -34,6 +34,8 @@
     for entry in &fleet.entries {
         let address = entry.caller_address();
         ask_rightly(address, &prompt(1_000, 1), 20);
+        // An empty prompt holds the memory of its answer all the same.
+        ask_rightly(address, "", 20);
         let body = serde_json::json!({
             "model": MODEL, "stream": true, "max_tokens": 30,
             "messages": [{"role": "user", "content": "a neon sign"}],
