--- a/crates/mulberry-bench/tests/processes.rs
+++ b/crates/mulberry-bench/tests/processes.rs
@@ -145,7 +145,7 @@
 /// Guards against a planned stop that refuses or cuts requests of callers who heed `/readyz`.
 #[test]
 fn planned_stop_of_an_entry_under_load_fails_no_request() {
-    let fleet = Fleet::start(3, 4, 2, &json!({ "step_ms": 10 }));
+    let fleet = Fleet::start(8, 4, 2, &json!({ "step_ms": 10 }));
     warm_up(&fleet);
     let send = |entry: &str, number: usize| match number % 8 {
         7 => {
