Run the logging child test always instead of ignoring it

Cause: the test that another one starts with a full standard error was marked as ignored, so a run listed a test that does not run. Nothing in it needs that: by itself it writes one line to standard error.

Before: 3 tests run and 1 ignored. After: 4 run and pass, none ignored.

--- a/crates/mulberry-platform/tests/logging.rs
+++ b/crates/mulberry-platform/tests/logging.rs
@@ -7,9 +7,8 @@
 
 use mulberry_platform::{check_log_level, error_line, init_logging};
 
-/// Runs in a process of its own, started by the test below.
+/// Started once more by the test below, in a process whose standard error is a full device.
 #[test]
-#[ignore = "only the test of a full log starts it, with its standard error on a full device"]
 fn log_one_line() {
     init_logging("info", "test-1");
     tracing::info!("a_line_that_is_lost");
@@ -20,7 +19,7 @@
 fn a_log_that_cannot_be_written_does_not_end_the_process() {
     let full = OpenOptions::new().write(true).open("/dev/full").unwrap();
     let status = Command::new(std::env::current_exe().unwrap())
-        .args(["--ignored", "--exact", "--nocapture", "log_one_line"])
+        .args(["--exact", "--nocapture", "log_one_line"])
         .stdout(Stdio::null())
         .stderr(full)
         .status()
