mulberry-control: answer lost proposals in one place

Cause: the answers to callers whose proposal is replaced in the log or lost with leadership stood twice, and a change of one could miss the other.

Ruled out: a change of behaviour; both places gave the same answers.

Result: the loop on lost leadership calls the function that exists; all tests of the crate pass.

--- a/crates/mulberry-control/src/replica/apply.rs
+++ b/crates/mulberry-control/src/replica/apply.rs
@@ -105,7 +105,8 @@
         }
     }
 
-    fn answer_replaced(&self, waiter: Waiter) {
+    /// Answers who waits for a proposal whose outcome this replica no longer decides.
+    pub(super) fn answer_replaced(&self, waiter: Waiter) {
         match waiter {
             Waiter::Nobody => {}
             Waiter::Entry(responder) => reply_to(responder, self.elsewhere()),
--- a/crates/mulberry-control/src/replica/leadership.rs
+++ b/crates/mulberry-control/src/replica/leadership.rs
@@ -139,16 +139,7 @@
             let _ = read.reply.send(Err(self.operator_elsewhere()));
         }
         for (_, proposal) in std::mem::take(&mut self.proposals) {
-            match proposal.waiter {
-                Waiter::Nobody => {}
-                Waiter::Entry(responder) => reply_to(responder, self.elsewhere()),
-                Waiter::Change(reply) => {
-                    let _ = reply.send(Err(OperatorCallError::OutcomeUnknown));
-                }
-                Waiter::Members(reply) => {
-                    let _ = reply.send(Err(OperatorCallError::OutcomeUnknown));
-                }
-            }
+            self.answer_replaced(proposal.waiter);
         }
     }
 
