--- a/crates/mulberry-control/src/control_instance.rs
+++ b/crates/mulberry-control/src/control_instance.rs
@@ -17,7 +17,7 @@
     Call, LinkFaults, PeerClientSettings, PeerSecret, PeerSecretError, PeerServer,
     PeerServerSettings, PeerStats, Responder,
 };
-use mulberry_platform::{Health, PlatformServer};
+use mulberry_telemetry::{Health, PlatformServer};
 use mulberry_types::{ControlPortReply, ControlPortRequest, ControlReply, SettingsError};
 use prometheus_client::registry::Registry;
 
--- a/crates/mulberry-control/src/control_settings.rs
+++ b/crates/mulberry-control/src/control_settings.rs
@@ -7,7 +7,7 @@
 
 use mulberry_log::LogSettings;
 use mulberry_operators::{OperatorToken, OperatorTokens};
-use mulberry_platform::check_log_level;
+use mulberry_telemetry::check_log_level;
 use mulberry_types::SettingsError;
 use serde::{Deserialize, Serialize};
 
--- a/crates/mulberry-control/src/main.rs
+++ b/crates/mulberry-control/src/main.rs
@@ -6,7 +6,7 @@
 
 use eyre::{Result, WrapErr, eyre};
 use mulberry_control::{ControlInstance, ControlSettings};
-use mulberry_platform::error_line;
+use mulberry_telemetry::error_line;
 use mulberry_types::load_settings;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -51,7 +51,7 @@
         println!("{} is valid", file.display());
         return Ok(());
     }
-    mulberry_platform::init_logging(&settings.log_level, &settings.name);
+    mulberry_telemetry::init_logging(&settings.log_level, &settings.name);
     let mut signals = Signals::new([SIGTERM, SIGINT]).wrap_err("cannot handle signals")?;
     let instance = ControlInstance::start(&settings)?;
     loop {
--- a/crates/mulberry-control/src/replica.rs
+++ b/crates/mulberry-control/src/replica.rs
@@ -20,7 +20,7 @@
 };
 use mulberry_log::{DataFolder, LogError};
 use mulberry_peers::Responder;
-use mulberry_platform::Health;
+use mulberry_telemetry::Health;
 use mulberry_state::{Command, FleetState, StateLimits};
 use mulberry_types::{
     ChangeOutcome, ControlPortReply, ControlPortRequest, ControlReply, ReplicaHello,
--- /dev/null
+++ b/crates/mulberry-directory/src/messages.rs
@@ -0,0 +1,69 @@
+//! Messages on the link between a gateway and a registry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use mulberry_routes::RoutingConfig;
+use serde::{Deserialize, Serialize};
+
+use crate::TargetRecord;
+
+/// A gateway as others see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GatewayInfo {
+    pub name: Arc<str>,
+
+    /// Drawn at random at each start.
+    pub incarnation: u64,
+
+    /// Time of day of its start; the gateway that has run longest is asked first.
+    pub started_ms: u64,
+
+    /// Where other gateways reach it.
+    pub address: SocketAddr,
+
+    /// False once the gateway is stopping: nobody turns to it any more.
+    pub takes_part: bool,
+}
+
+/// What arrives at the link port of a registry. `P` is what registries tell each other.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum LinkMessage<P> {
+    Peer(P),
+    Gateway(GatewayMessage),
+}
+
+/// From a gateway to a registry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum GatewayMessage {
+    /// The first message, and again when something of it changes.
+    Hello { gateway: GatewayInfo, config_version: u64 },
+
+    /// Asks for the configuration, because another registry told of a newer version than this gateway holds.
+    WantConfig,
+}
+
+/// From a registry to a gateway.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum RegistryMessage {
+    /// A configuration that this registry knows to be accepted.
+    Config(Arc<RoutingConfig>),
+
+    /// Version that this registry knows to be accepted; also the sign of life of an idle link.
+    Version(u64),
+
+    /// Zones that get nothing new, as of an index of the replicated log.
+    Evacuated { index: u64, zones: Vec<Arc<str>> },
+
+    /// Targets that are new or have changed.
+    Targets(Vec<TargetRecord>),
+
+    /// Targets that have been silent for some announcements, as this registry sees it; replaces the list before.
+    Silent(Vec<Arc<str>>),
+
+    /// Gateways that are linked to this registry or another one.
+    Gateways(Vec<GatewayInfo>),
+
+    /// Addresses of all registries.
+    Registries(Vec<SocketAddr>),
+}
--- a/crates/mulberry-entry/src/entry.rs
+++ b/crates/mulberry-entry/src/entry.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use mulberry_peers::{PeerClientSettings, PeerSecret};
-use mulberry_platform::Health;
+use mulberry_telemetry::Health;
 use mulberry_policy::{GrantEffect, HomeLedger, Placement, PlacementPolicy, RetryBudget};
 use mulberry_services::ServiceClient;
 use mulberry_targets::{EngineClient, EngineClientSettings};
--- a/crates/mulberry-entry/src/instance.rs
+++ b/crates/mulberry-entry/src/instance.rs
@@ -7,7 +7,7 @@
 use eyre::{Context, Result};
 use mulberry_http::HttpServer;
 use mulberry_peers::{PeerClientSettings, PeerSecret, PeerServer, PeerServerSettings};
-use mulberry_platform::{Health, PlatformServer};
+use mulberry_telemetry::{Health, PlatformServer};
 use mulberry_types::{ControlReply, ControlRequest, HomeReply, HomeRequest, Incarnation};
 use prometheus_client::registry::Registry;
 
--- a/crates/mulberry-entry/src/main.rs
+++ b/crates/mulberry-entry/src/main.rs
@@ -5,7 +5,7 @@
 
 use eyre::Result;
 use mulberry_entry::{EntrySettings, Instance};
-use mulberry_platform::{error_line, init_logging};
+use mulberry_telemetry::{error_line, init_logging};
 use mulberry_types::load_settings;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
--- a/crates/mulberry-entry/src/settings.rs
+++ b/crates/mulberry-entry/src/settings.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
-use mulberry_platform::check_log_level;
+use mulberry_telemetry::check_log_level;
 use mulberry_types::{NodeId, SettingsError};
 use serde::{Deserialize, Serialize};
 
--- /dev/null
+++ b/crates/mulberry-gateway/src/caller_server.rs
@@ -0,0 +1,157 @@
+//! The port of callers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use mulberry_http1::{
+    BodyDecoder, Framing, HeadError, Http1Connection, ReadError, RequestHead, ResponseHead,
+    request_framing,
+};
+use mulberry_routes::RequestLimits;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::exchange::{self, Next};
+use crate::shared::{Counted, Shared};
+use crate::sockets;
+
+/// Time between two looks at whether the gateway stops, on an idle connection.
+const STOP_CHECK: Duration = Duration::from_millis(250);
+
+/// Time after the signal to stop for which idle connections stay open: until the balancer has noticed.
+const IDLE_AFTER_STOP: Duration = Duration::from_millis(2_500);
+
+/// Time for a body to arrive.
+const BODY: Duration = Duration::from_secs(10);
+
+/// Time for which a connection stays open after a refusal, so that the caller reads it before the reset that unread
+/// bytes cause.
+const LINGER: Duration = Duration::from_millis(300);
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts callers for good.
+pub(crate) async fn serve(listener: TcpListener, shared: Rc<Shared>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if shared.connections.get() < shared.settings.max_connections => {
+                tokio::task::spawn_local(serve_connection(stream, shared.clone()));
+            }
+            Ok(_) => tracing::warn!(
+                event = "connection_refused",
+                connections = shared.connections.get()
+            ),
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, shared: Rc<Shared>) {
+    let _counted = Counted::new(&shared.connections, &shared.metrics.connections);
+    if let Err(error) = sockets::prepare(&stream) {
+        tracing::debug!(event = "connection_not_prepared", %error);
+        return;
+    }
+    let mut client = Http1Connection::new(stream);
+    loop {
+        let limits = shared.table().map_or_else(RequestLimits::default, |t| t.config().limits);
+        if !wait_for_request(&mut client, &shared, limits).await {
+            return;
+        }
+        let arrived = Instant::now();
+        let head_time = Duration::from_millis(limits.head_time_ms);
+        let max_head = usize::try_from(limits.max_head_bytes).unwrap_or(usize::MAX);
+        let head = match timeout(head_time, client.read_request(max_head)).await {
+            Ok(Ok(head)) => head,
+            Ok(Err(error)) => return refuse(&mut client, status_of(&error), &error).await,
+            Err(_) => return refuse(&mut client, Some(408), &"the head did not arrive").await,
+        };
+        let _active = Counted::new(&shared.active, &shared.metrics.active_requests);
+        let body = match timeout(BODY, read_body(&mut client, &head, limits)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(error)) => return refuse(&mut client, status_of(&error), &error).await,
+            Err(_) => return refuse(&mut client, Some(408), &"the body did not arrive").await,
+        };
+        if exchange::serve(&shared, &mut client, head, body, arrived).await == Next::Close {
+            // The end of the stream is sent before the connection is dropped.
+            if let Err(error) = client.shutdown().await {
+                tracing::debug!(event = "shutdown_failed", %error);
+            }
+            return;
+        }
+    }
+}
+
+/// Waits for the first byte of a request. False when the connection is to be closed.
+async fn wait_for_request(
+    client: &mut Http1Connection,
+    shared: &Shared,
+    limits: RequestLimits,
+) -> bool {
+    let idle_until = Instant::now() + Duration::from_millis(limits.idle_time_ms);
+    let mut stop_until: Option<Instant> = None;
+    loop {
+        match timeout(STOP_CHECK, client.wait_for_message()).await {
+            Ok(Ok(())) => return true,
+            Ok(Err(_)) => return false,
+            Err(_) => {}
+        }
+        let now = Instant::now();
+        if shared.is_stopping.get() {
+            let until = *stop_until.get_or_insert(now + IDLE_AFTER_STOP);
+            if now >= until {
+                return false;
+            }
+        }
+        if now >= idle_until {
+            return false;
+        }
+    }
+}
+
+async fn read_body(
+    client: &mut Http1Connection,
+    head: &RequestHead,
+    limits: RequestLimits,
+) -> Result<Vec<u8>, ReadError> {
+    let max_body = usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX);
+    let framing = request_framing(head).map_err(ReadError::Head)?;
+    if matches!(framing, Framing::Length(length) if length > limits.max_body_bytes) {
+        return Err(ReadError::BodyTooLong);
+    }
+    if head.headers.has_token("expect", "100-continue") {
+        client.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.map_err(ReadError::Io)?;
+    }
+    client.read_whole_body(BodyDecoder::new(framing), max_body).await
+}
+
+/// Status for a request that cannot be read; `None` when nobody is there to get an answer.
+fn status_of(error: &ReadError) -> Option<u16> {
+    match error {
+        ReadError::HeadTooLong | ReadError::Head(HeadError::TooManyFields) => Some(431),
+        ReadError::BodyTooLong => Some(413),
+        _ if error.is_disconnect() => None,
+        _ => Some(400),
+    }
+}
+
+/// Answers a request that cannot be read and ends the connection.
+async fn refuse(client: &mut Http1Connection, status: Option<u16>, reason: &impl std::fmt::Display) {
+    let Some(status) = status else { return };
+    tracing::info!(event = "request_unreadable", status, reason = %reason);
+    let body = format!("{reason}\n");
+    let mut head = ResponseHead::new(status);
+    head.headers.push("Content-Type", b"text/plain; charset=utf-8");
+    head.headers.push("Content-Length", body.len().to_string().as_bytes());
+    head.headers.push("Connection", b"close");
+    let mut bytes = Vec::new();
+    head.encode(&mut bytes);
+    bytes.extend_from_slice(body.as_bytes());
+    if client.write_all(&bytes).await.is_ok() && client.shutdown().await.is_ok() {
+        let _ = timeout(LINGER, client.wait_closed()).await;
+    }
+}
--- /dev/null
+++ b/crates/mulberry-gateway/src/event_relay.rs
@@ -0,0 +1,125 @@
+//! What of an engine's stream is passed on.
+//!
+//! Only whole events are passed on, in order and once: when an engine breaks off, another one goes on after the last
+//! event that the caller has, and the caller sees one stream.
+
+use std::fmt;
+
+/// Longest event; an engine that sends a longer one is broken.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Takes whole events out of the bytes of streams.
+#[derive(Debug, Default)]
+pub struct EventRelay {
+    partial: Vec<u8>,
+
+    /// Number of the last event that was passed on.
+    last_event: Option<u64>,
+
+    events: u64,
+}
+
+/// Why a stream cannot be gone on with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RelayError {
+    /// An event is missing before this one.
+    Gap { after: u64, got: u64 },
+
+    /// An event has no end.
+    TooLong,
+}
+
+impl EventRelay {
+    /// A relay for a stream that goes on after `last_event`.
+    pub fn new(last_event: Option<u64>) -> EventRelay {
+        EventRelay { partial: Vec::new(), last_event, events: 0 }
+    }
+
+    /// Number of the last event that was passed on, or after which the caller asked to go on.
+    pub fn last_event(&self) -> Option<u64> {
+        self.last_event
+    }
+
+    /// Events passed on.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// Whether bytes of an event without its end are left.
+    pub fn has_partial(&self) -> bool {
+        !self.partial.is_empty()
+    }
+
+    /// Forgets the bytes of an event without its end, since another engine will send it again.
+    pub fn drop_partial(&mut self) {
+        self.partial.clear();
+    }
+
+    /// Takes bytes of an engine and appends the whole events among them to `out`.
+    ///
+    /// # Errors
+    /// The stream misses an event, or an event has no end. Events before it are in `out`.
+    pub fn push(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<(), RelayError> {
+        let mut searched = self.partial.len().saturating_sub(3);
+        self.partial.extend_from_slice(bytes);
+        let mut begin = 0;
+        while let Some(end) = event_end(&self.partial, searched) {
+            let event = &self.partial[begin..end];
+            if let Some(number) = event_number(event) {
+                if let Some(last) = self.last_event {
+                    if number <= last {
+                        // Sent before by the engine that broke off.
+                        begin = end;
+                        searched = end;
+                        continue;
+                    }
+                    if number > last + 1 {
+                        self.partial.drain(..begin);
+                        return Err(RelayError::Gap { after: last, got: number });
+                    }
+                }
+                self.last_event = Some(number);
+            }
+            out.extend_from_slice(event);
+            self.events += 1;
+            begin = end;
+            searched = end;
+        }
+        self.partial.drain(..begin);
+        if self.partial.len() > MAX_EVENT_BYTES {
+            return Err(RelayError::TooLong);
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for RelayError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RelayError::Gap { after, got } => {
+                write!(f, "event {got} follows event {after}; the stream is broken")
+            }
+            RelayError::TooLong => f.write_str("an event has no end; the stream is broken"),
+        }
+    }
+}
+
+impl std::error::Error for RelayError {}
+
+/// End of the first event, whose blank line is searched from `from` on.
+fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
+    let at = bytes[from..].windows(2).position(|pair| pair == b"\n\n").map(|at| from + at + 2);
+    let crlf =
+        bytes[from..].windows(4).position(|four| four == b"\r\n\r\n").map(|at| from + at + 4);
+    match (at, crlf) {
+        (Some(one), Some(other)) => Some(one.min(other)),
+        (one, other) => one.or(other),
+    }
+}
+
+fn event_number(event: &[u8]) -> Option<u64> {
+    event.split(|&byte| byte == b'\n').find_map(|line| {
+        let value = line.strip_prefix(b"id:")?;
+        std::str::from_utf8(value).ok()?.trim().parse().ok()
+    })
+}
--- /dev/null
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -0,0 +1,898 @@
+//! One request from its route to the last byte of its answer.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mulberry_http1::{
+    Http1Connection, RequestHead, ResponseHead, encode_chunk,
+};
+use mulberry_routes::{Denied, Route, RouteKind, RouteTable, Service, Target};
+use mulberry_scheduler::{Decision, Outcome, Work};
+use rand::Rng as _;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+use crate::attempt::{Answer, Attempt, SendError};
+use crate::dialect::{CallerFields, ForwardFields};
+use crate::metrics::{AttemptLabels, LengthLabels, RequestLabels, prompt_class};
+use crate::placement::{PlacedJob, Placer};
+use crate::shared::Shared;
+use crate::EventRelay;
+
+/// Sends that reached no target and may be made beyond the attempts of the route.
+const MAX_UNSENT: u32 = 3;
+
+/// Least wait for a target before another one is tried.
+const MIN_PATIENCE: Duration = Duration::from_millis(250);
+
+/// Times the aim of a plain request that a target may take before another one is tried.
+const PATIENCE_AIMS: f64 = 3.0;
+
+/// Wait for the first event beyond twice what was forecast, before another engine is tried.
+const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// Least pause in a stream after which its engine counts as lost.
+const MIN_GAP: Duration = Duration::from_millis(1_200);
+
+/// Times the longest pause that is on time.
+const GAP_PAUSES: u32 = 3;
+
+/// Idle time of a kept connection for requests that must not run twice: a target may close an older one just then.
+const FRESH: Duration = Duration::ZERO;
+
+/// The same for requests that may be sent again.
+const KEPT: Duration = Duration::from_secs(60);
+
+/// Time to come back when no target of a service is known.
+const NO_TARGET_RETRY_MS: u64 = 400;
+
+/// Time to come back when the targets are full.
+const FULL_RETRY_MS: u64 = 250;
+
+/// Whether the connection of the caller may be used again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Next {
+    KeepAlive,
+    Close,
+}
+
+/// A request with what is known of its fate.
+pub(crate) struct Exchange {
+    shared: Rc<Shared>,
+    table: Rc<RouteTable>,
+    route: Route,
+    service: Arc<str>,
+    tenant: Option<Arc<str>>,
+    priority: u32,
+    head: RequestHead,
+    body: Vec<u8>,
+    fields: CallerFields,
+    arrived: Instant,
+    deadline: Instant,
+
+    /// Sends that reached a target.
+    sends: u32,
+
+    /// Sends that did not.
+    unsent: u32,
+
+    may_have_run: bool,
+    excluded: Vec<Arc<str>>,
+    last_target: Option<Arc<str>>,
+
+    /// The newest failure that a target answered with.
+    last_failure: Option<(ResponseHead, Vec<u8>)>,
+
+    first_event_at: Option<Instant>,
+    reason: String,
+}
+
+/// What a target was asked and has begun to answer.
+enum Obtained {
+    Whole { head: ResponseHead, body: Vec<u8> },
+    Stream(Box<LiveStream>),
+    GivenUp(GivenUp),
+}
+
+/// A stream of which the first bytes have come.
+struct LiveStream {
+    answer: Answer,
+    first_bytes: Vec<u8>,
+    target_id: Arc<str>,
+    job: Option<PlacedJob>,
+    running: RunningGuard,
+}
+
+/// A request that gets no answer of a target.
+struct GivenUp {
+    status: u16,
+    retry_after_ms: Option<u64>,
+}
+
+/// A target that was chosen.
+struct Chosen {
+    target_id: Arc<str>,
+    address: SocketAddr,
+    job: Option<PlacedJob>,
+    patience: Instant,
+}
+
+/// Counts a request at its target while it lives.
+struct RunningGuard {
+    shared: Rc<Shared>,
+    target_id: Arc<str>,
+}
+
+impl RunningGuard {
+    fn new(shared: &Rc<Shared>, target_id: &Arc<str>) -> RunningGuard {
+        shared.health.borrow_mut().started(target_id);
+        RunningGuard { shared: shared.clone(), target_id: target_id.clone() }
+    }
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.shared.health.borrow_mut().ended(&self.target_id);
+    }
+}
+
+/// Serves a request that was read at `arrived`.
+pub(crate) async fn serve(
+    shared: &Rc<Shared>,
+    client: &mut Http1Connection,
+    head: RequestHead,
+    body: Vec<u8>,
+    arrived: Instant,
+) -> Next {
+    let fields = shared.dialect.caller_fields(&head.headers);
+    let keeps_alive = head.keeps_alive() && !shared.is_stopping.get();
+    let mut exchange = match Exchange::new(shared, head, body, fields, arrived) {
+        Ok(exchange) => exchange,
+        Err(refused) => {
+            let given_up =
+                GivenUp { status: refused.status, retry_after_ms: refused.retry_after_ms };
+            refused.log(shared);
+            return send_own(client, &given_up, refused.reason, keeps_alive).await;
+        }
+    };
+    exchange.run(client, keeps_alive).await
+}
+
+/// A request that is refused before any target is looked for.
+struct Refused {
+    status: u16,
+    retry_after_ms: Option<u64>,
+    reason: &'static str,
+    request_id: Option<Box<str>>,
+    version: u64,
+}
+
+impl Refused {
+    fn log(&self, shared: &Shared) {
+        let labels = RequestLabels { kind: "none", outcome: "refused" };
+        shared.metrics.requests.get_or_create(&labels).inc();
+        tracing::info!(
+            event = "request_refused",
+            request_id = self.request_id.as_deref().unwrap_or(""),
+            status = self.status,
+            reason = self.reason,
+            config_version = self.version
+        );
+    }
+}
+
+impl Exchange {
+    fn new(
+        shared: &Rc<Shared>,
+        head: RequestHead,
+        body: Vec<u8>,
+        fields: CallerFields,
+        arrived: Instant,
+    ) -> Result<Exchange, Refused> {
+        let version = shared.config_version();
+        let refused = |status, retry_after_ms, reason| Refused {
+            status,
+            retry_after_ms,
+            reason,
+            request_id: fields.request_id.clone(),
+            version,
+        };
+        let table = shared.table().filter(|_| {
+            !(shared.settings.refuse_when_unlinked && shared.links.get() == 0)
+        });
+        let Some(table) = table else {
+            return Err(refused(503, Some(NO_TARGET_RETRY_MS), "no configuration is known yet"));
+        };
+        let host = head.headers.text("host").unwrap_or_default().to_owned();
+        let found = table.find(&host, head.path(), fields.api_key.as_deref());
+        let Target { route, tenant } = found.map_err(|denied| match denied {
+            Denied::NoRoute => refused(404, None, "no route matches the host and path"),
+            Denied::UnknownKey => refused(401, None, "the key is none of a tenant"),
+        })?;
+        let route = route.clone();
+        let tenant_name = tenant.map(|tenant| tenant.name.clone());
+        let priority = tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority);
+        let service = choose_service(&route);
+        let limit_ms = fields.deadline_ms.unwrap_or(u64::MAX).min(route.time_limit_ms);
+        shared.with_budget(&service, |budget, now_ms, _| budget.request(now_ms));
+        Ok(Exchange {
+            shared: shared.clone(),
+            table,
+            service,
+            tenant: tenant_name,
+            priority,
+            head,
+            body,
+            deadline: arrived + Duration::from_millis(limit_ms),
+            fields,
+            arrived,
+            sends: 0,
+            unsent: 0,
+            may_have_run: false,
+            excluded: Vec::new(),
+            last_target: None,
+            last_failure: None,
+            first_event_at: None,
+            reason: String::new(),
+            route,
+        })
+    }
+
+    async fn run(&mut self, client: &mut Http1Connection, keeps_alive: bool) -> Next {
+        let mut relay = EventRelay::new(self.fields.last_event);
+        let obtained = tokio::select! {
+            biased;
+            obtained = self.obtain(&mut relay) => Some(obtained),
+            () = client.wait_closed() => None,
+        };
+        match obtained {
+            None => {
+                self.end("left", 0);
+                Next::Close
+            }
+            Some(Obtained::Whole { head, body }) => {
+                let status = head.status;
+                let outcome = if (200..400).contains(&status) { "served" } else { "failed_at_target" };
+                let next = send_whole(client, head, &body, keeps_alive).await;
+                self.end(outcome, status);
+                next
+            }
+            Some(Obtained::Stream(live)) => self.relay(client, *live, relay, keeps_alive).await,
+            Some(Obtained::GivenUp(given_up)) => {
+                let outcome = if given_up.status == 503 { "refused" } else { "failed" };
+                self.end(outcome, given_up.status);
+                let reason = std::mem::take(&mut self.reason);
+                send_own(client, &given_up, &reason, keeps_alive).await
+            }
+        }
+    }
+
+    /// Sends the request to targets until one answers or nothing more may be tried.
+    async fn obtain(&mut self, relay: &mut EventRelay) -> Obtained {
+        loop {
+            if Instant::now() >= self.deadline {
+                return self.give_up_late();
+            }
+            let chosen = match self.choose().await {
+                Ok(chosen) => chosen,
+                Err(given_up) => return Obtained::GivenUp(given_up),
+            };
+            if self.sends > 0 && !self.take_budget() {
+                "no budget for another attempt".clone_into(&mut self.reason);
+                return self.give_up();
+            }
+            if let Some(obtained) = self.attempt(chosen, relay).await {
+                return obtained;
+            }
+            if !self.may_try_again() {
+                return self.give_up();
+            }
+        }
+    }
+
+    /// One attempt. `None` when another one may follow.
+    async fn attempt(&mut self, mut chosen: Chosen, relay: &EventRelay) -> Option<Obtained> {
+        let shared = self.shared.clone();
+        let target_id = chosen.target_id.clone();
+        let running = RunningGuard::new(&shared, &target_id);
+        self.last_target = Some(target_id.clone());
+        let head = self.forwarded_head(&chosen, relay);
+        let is_idempotent = self.route.kind.is_idempotent();
+        let attempt = Attempt {
+            target_id: &target_id,
+            address: chosen.address,
+            head: &head,
+            body: &self.body,
+            request_id: self.fields.request_id.as_deref(),
+            max_idle: if is_idempotent { KEPT } else { FRESH },
+        };
+        let sent = timeout_at(chosen.patience, attempt.send(&shared)).await;
+        let sent = sent.unwrap_or_else(|_| Err(SendError::Unknown("no answer in time".to_owned())));
+        let answer = match sent {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.failed(&error, &target_id, chosen.job.take());
+                return None;
+            }
+        };
+        self.sends += 1;
+        let is_success = (200..300).contains(&answer.head.status);
+        let is_stream = is_success && self.route.kind.is_stream();
+        let result = if is_stream {
+            self.begin_stream(answer, chosen, running).await
+        } else {
+            self.read_answer(answer, &mut chosen, is_idempotent).await
+        };
+        match result {
+            Ok(obtained) => obtained,
+            Err((reason, job)) => {
+                self.sends -= 1;
+                self.failed(&SendError::Unknown(reason), &target_id, job);
+                None
+            }
+        }
+    }
+
+    /// Waits for the first bytes of a stream. An error says why it broke off.
+    async fn begin_stream(
+        &mut self,
+        mut answer: Answer,
+        mut chosen: Chosen,
+        running: RunningGuard,
+    ) -> Result<Option<Obtained>, (String, Option<PlacedJob>)> {
+        let first = timeout_at(chosen.patience, answer.next()).await;
+        let first_bytes = match first {
+            Ok(Ok(bytes)) => bytes.unwrap_or_default(),
+            Ok(Err(error)) => return Err((error.to_string(), chosen.job.take())),
+            Err(_) => return Err(("no event in time".to_owned(), chosen.job.take())),
+        };
+        if let Some(job) = &chosen.job {
+            job.first_event();
+        }
+        let live = LiveStream {
+            answer,
+            first_bytes,
+            target_id: chosen.target_id,
+            job: chosen.job,
+            running,
+        };
+        Ok(Some(Obtained::Stream(Box::new(live))))
+    }
+
+    /// Reads an answer that is no stream. `None` when it is a failure and another attempt may follow.
+    async fn read_answer(
+        &mut self,
+        mut answer: Answer,
+        chosen: &mut Chosen,
+        is_idempotent: bool,
+    ) -> Result<Option<Obtained>, (String, Option<PlacedJob>)> {
+        let body = match timeout_at(chosen.patience, answer.read_whole()).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(error)) => return Err((error.to_string(), chosen.job.take())),
+            Err(_) => return Err(("the answer did not end in time".to_owned(), chosen.job.take())),
+        };
+        let now_ms = self.shared.now_ms();
+        let kept = answer.keep(&self.shared, &chosen.target_id);
+        let status = kept.head.status;
+        let is_failure = status >= 500 || matches!(status, 408 | 421 | 429);
+        {
+            let mut health = self.shared.health.borrow_mut();
+            if is_failure {
+                health.answered_failure(&chosen.target_id);
+            } else {
+                health.succeeded(now_ms, &chosen.target_id);
+            }
+        }
+        self.count_attempt(if is_failure { "failure_answered" } else { "answered" });
+        if let Some(job) = chosen.job.take() {
+            job.finish(if is_failure { Outcome::Failed } else { Outcome::Done });
+        }
+        if !is_failure {
+            return Ok(Some(Obtained::Whole { head: kept.head, body }));
+        }
+        self.may_have_run = true;
+        self.reason = format!("target {} answered {status}", chosen.target_id);
+        let is_last = !is_idempotent || !self.may_try_again();
+        self.excluded.push(chosen.target_id.clone());
+        self.last_failure = Some((kept.head, body));
+        if is_last {
+            return Ok(Some(self.give_up()));
+        }
+        // The failure is kept in case nothing better comes.
+        Ok(None)
+    }
+
+    /// Passes a stream on to its end, on other engines if need be.
+    async fn relay(
+        &mut self,
+        client: &mut Http1Connection,
+        live: LiveStream,
+        mut relay: EventRelay,
+        keeps_alive: bool,
+    ) -> Next {
+        let mut head = Some(stream_head(&live.answer.head, keeps_alive));
+        let mut live = live;
+        let gap = MIN_GAP.max(Duration::from_millis(self.route.max_pause_ms) * GAP_PAUSES);
+        loop {
+            let ended = self.relay_one(client, &mut live, &mut relay, &mut head, gap).await;
+            let LiveStream { answer, target_id, job, running, .. } = live;
+            match ended {
+                Ended::Complete => {
+                    drop(running);
+                    answer.keep(&self.shared, &target_id);
+                    let now_ms = self.shared.now_ms();
+                    self.shared.health.borrow_mut().succeeded(now_ms, &target_id);
+                    self.count_attempt("answered");
+                    if let Some(job) = job {
+                        job.finish(Outcome::Done);
+                    }
+                    let mut bytes = Vec::new();
+                    if let Some(head) = head.take() {
+                        head.encode(&mut bytes);
+                    }
+                    bytes.extend_from_slice(b"0\r\n\r\n");
+                    let is_sent = client.write_all(&bytes).await.is_ok();
+                    self.end(if is_sent { "served" } else { "left" }, 200);
+                    return if is_sent && keeps_alive { Next::KeepAlive } else { Next::Close };
+                }
+                Ended::ClientLeft => {
+                    drop((answer, job, running));
+                    self.end("left", 200);
+                    return Next::Close;
+                }
+                Ended::OutOfTime => {
+                    drop((answer, job, running));
+                    "out of time within the stream".clone_into(&mut self.reason);
+                    self.end("cut", 200);
+                    return Next::Close;
+                }
+                Ended::Broken(reason) => {
+                    drop((answer, running));
+                    relay.drop_partial();
+                    self.failed(&SendError::Unknown(reason), &target_id, job);
+                }
+            }
+            let resumed = if self.route.kind == RouteKind::ResumableStream && self.may_try_again() {
+                tokio::select! {
+                    biased;
+                    obtained = self.obtain(&mut relay) => obtained,
+                    () = client.wait_closed() => {
+                        self.end("left", 200);
+                        return Next::Close;
+                    }
+                }
+            } else {
+                self.give_up()
+            };
+            match resumed {
+                Obtained::Stream(next) => {
+                    tracing::info!(
+                        event = "stream_resumed",
+                        request_id = self.request_id(),
+                        target_id = %next.target_id,
+                        after_event = relay.last_event().unwrap_or(0)
+                    );
+                    live = *next;
+                }
+                Obtained::Whole { .. } | Obtained::GivenUp(_) if head.is_none() => {
+                    self.end("broken", 200);
+                    return Next::Close;
+                }
+                Obtained::Whole { head, body } => {
+                    let status = head.status;
+                    self.end("failed_at_target", status);
+                    return send_whole(client, head, &body, keeps_alive).await;
+                }
+                Obtained::GivenUp(given_up) => {
+                    self.end("failed", given_up.status);
+                    let reason = std::mem::take(&mut self.reason);
+                    return send_own(client, &given_up, &reason, keeps_alive).await;
+                }
+            }
+        }
+    }
+
+    /// Passes on what one engine sends.
+    async fn relay_one(
+        &mut self,
+        client: &mut Http1Connection,
+        live: &mut LiveStream,
+        relay: &mut EventRelay,
+        head: &mut Option<ResponseHead>,
+        gap: Duration,
+    ) -> Ended {
+        let mut bytes = Some(std::mem::take(&mut live.first_bytes));
+        loop {
+            let Some(received) = bytes else {
+                if relay.has_partial() {
+                    return Ended::Broken("the stream ended within an event".to_owned());
+                }
+                return Ended::Complete;
+            };
+            let mut events = Vec::new();
+            let pushed = relay.push(&received, &mut events);
+            if !events.is_empty() {
+                let mut out = Vec::with_capacity(events.len() + 512);
+                if let Some(head) = head.take() {
+                    head.encode(&mut out);
+                    self.first_event();
+                }
+                encode_chunk(&events, &mut out);
+                if client.write_all(&out).await.is_err() {
+                    return Ended::ClientLeft;
+                }
+            }
+            if let Err(error) = pushed {
+                return Ended::Broken(error.to_string());
+            }
+            let silent_at = Instant::now() + gap;
+            bytes = tokio::select! {
+                biased;
+                read = live.answer.next() => match read {
+                    Ok(bytes) => bytes,
+                    Err(error) => return Ended::Broken(error.to_string()),
+                },
+                () = client.wait_closed() => return Ended::ClientLeft,
+                () = sleep_until(silent_at.min(self.deadline)) => {
+                    if Instant::now() >= self.deadline {
+                        return Ended::OutOfTime;
+                    }
+                    return Ended::Broken(format!("no event for {} ms", gap.as_millis()));
+                }
+            };
+        }
+    }
+
+    /// Chooses a target for the next attempt.
+    async fn choose(&mut self) -> Result<Chosen, GivenUp> {
+        let table = self.table.clone();
+        let Some(service) = table.service(&self.service) else {
+            "the service is not configured".clone_into(&mut self.reason);
+            return Err(GivenUp { status: 503, retry_after_ms: Some(NO_TARGET_RETRY_MS) });
+        };
+        if service.engine.is_some() {
+            return self.choose_engine().await;
+        }
+        let Some((target_id, address)) = self.choose_target(service) else {
+            "no target of the service can be used".clone_into(&mut self.reason);
+            return Err(self.refusal(NO_TARGET_RETRY_MS));
+        };
+        let aim = Duration::from_millis(self.route.aim_ms).mul_f64(PATIENCE_AIMS);
+        let patience = if self.has_further_attempt() && self.route.kind == RouteKind::Safe {
+            (Instant::now() + aim.max(MIN_PATIENCE)).min(self.deadline)
+        } else {
+            self.deadline
+        };
+        Ok(Chosen { target_id, address, job: None, patience })
+    }
+
+    async fn choose_engine(&mut self) -> Result<Chosen, GivenUp> {
+        let now = Instant::now();
+        let waited = now - self.arrived;
+        let left_ms = |until: Duration| until.saturating_sub(waited).as_millis() as u64;
+        let work = Work {
+            service: self.service.clone(),
+            prompt_tokens: self.fields.prompt_tokens,
+            answer_tokens: self.fields.answer_tokens,
+            priority: self.priority,
+            aim_left_ms: left_ms(Duration::from_millis(self.route.aim_ms)),
+            max_pause_ms: self.route.max_pause_ms,
+            time_left_ms: (self.deadline - now).as_millis() as u64,
+            zone: self.shared.settings.zone.clone(),
+            excluded: self.excluded.clone(),
+        };
+        let job = match Placer::place(&self.shared, work).await {
+            Ok(job) => job,
+            Err(Decision::Refused { retry_after_ms }) => {
+                "an answer in time is out of reach".clone_into(&mut self.reason);
+                return Err(self.refusal(retry_after_ms));
+            }
+            Err(_) => {
+                "no engine of the service can be used".clone_into(&mut self.reason);
+                return Err(self.refusal(NO_TARGET_RETRY_MS));
+            }
+        };
+        let target_id = job.engine().clone();
+        let address = self.shared.fleet.borrow().get(&target_id).map(|record| record.address);
+        let Some(address) = address else {
+            "the chosen engine is not known".clone_into(&mut self.reason);
+            return Err(self.refusal(NO_TARGET_RETRY_MS));
+        };
+        let forecast = Duration::from_millis(job.placement.first_event_ms) * 2;
+        let patience = if self.has_further_attempt() && self.route.kind.is_idempotent() {
+            (now + forecast + FIRST_EVENT_PATIENCE).min(self.deadline)
+        } else {
+            self.deadline
+        };
+        Ok(Chosen { target_id, address, job: Some(job), patience })
+    }
+
+    /// The target of a plain service that is least loaded, as far as this gateway knows.
+    fn choose_target(&self, service: &Service) -> Option<(Arc<str>, SocketAddr)> {
+        let now_ms = self.shared.now_ms();
+        let fleet = self.shared.fleet.borrow();
+        let health = self.shared.health.borrow();
+        let cost = |record: &mulberry_directory::TargetRecord| {
+            let id = &*record.id;
+            let is_silent = fleet
+                .silent_since_ms(id)
+                .is_some_and(|since| !health.has_served_since(since, id));
+            let is_avoided = is_silent || health.is_suspended(now_ms, id);
+            f64::from(health.in_flight(id))
+                + health.failure_share(id) * 4.0
+                + if is_avoided { 100.0 } else { 0.0 }
+                + if record.zone == self.shared.settings.zone { 0.0 } else { 0.4 }
+                + rand::rng().random_range(0.0..0.2)
+        };
+        fleet
+            .usable(&service.name)
+            .filter(|record| !self.excluded.contains(&record.id))
+            .map(|record| (cost(record), record))
+            .min_by(|(a, _), (b, _)| a.total_cmp(b))
+            .map(|(_, record)| (record.id.clone(), record.address))
+    }
+
+    fn forwarded_head(&self, chosen: &Chosen, relay: &EventRelay) -> RequestHead {
+        let mut head = self.head.clone();
+        head.headers.remove_connection_fields();
+        head.headers.remove("expect");
+        head.headers.remove("content-length");
+        if !self.body.is_empty() || self.head.headers.get("content-length").is_some() {
+            head.headers.push("Content-Length", self.body.len().to_string().as_bytes());
+        }
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let helpers: Vec<(SocketAddr, Option<String>)> = match &chosen.job {
+            Some(job) => job.helpers().into_iter().map(|address| (address, None)).collect(),
+            None => Vec::new(),
+        };
+        let fields = ForwardFields {
+            deadline_ms: Some(left.as_millis() as u64),
+            target_id: &chosen.target_id,
+            tenant: self.tenant.as_deref(),
+            priority: chosen.job.as_ref().map(|_| engine_priority(self.fields.prompt_tokens)),
+            helpers: &helpers,
+            last_event: relay.last_event(),
+        };
+        self.shared.dialect.forward(&mut head.headers, &fields);
+        head
+    }
+
+    /// Records a failed attempt.
+    fn failed(&mut self, error: &SendError, target_id: &Arc<str>, job: Option<PlacedJob>) {
+        let now_ms = self.shared.now_ms();
+        self.reason = format!("target {target_id}: {error}");
+        self.excluded.push(target_id.clone());
+        let outcome = match error {
+            SendError::NotSent(_) => {
+                self.unsent += 1;
+                self.shared.health.borrow_mut().failed(now_ms, target_id);
+                Outcome::Failed
+            }
+            SendError::NotRun { fields, status } => {
+                self.sends += 1;
+                if let Some(cold_ms) = fields.cold_ms {
+                    self.shared.fleet.borrow_mut().set_cold(now_ms, target_id, cold_ms);
+                }
+                if *status == 421 {
+                    self.shared.health.borrow_mut().failed(now_ms, target_id);
+                }
+                Outcome::Rejected
+            }
+            SendError::Unknown(_) => {
+                self.sends += 1;
+                self.may_have_run = true;
+                self.shared.health.borrow_mut().failed(now_ms, target_id);
+                Outcome::Failed
+            }
+        };
+        if let Some(job) = job {
+            job.finish(outcome);
+        }
+        let label = match error {
+            SendError::NotSent(_) => "not_sent",
+            SendError::NotRun { .. } => "not_run",
+            SendError::Unknown(_) => "unknown",
+        };
+        self.count_attempt(label);
+        tracing::info!(
+            event = "attempt_failed",
+            request_id = self.request_id(),
+            target_id = %target_id,
+            sends = self.sends,
+            error = %error
+        );
+    }
+
+    fn has_further_attempt(&self) -> bool {
+        self.sends + 1 < self.route.max_attempts
+    }
+
+    fn may_try_again(&self) -> bool {
+        let is_allowed = !self.may_have_run || self.route.kind.is_idempotent();
+        is_allowed
+            && self.sends < self.route.max_attempts
+            && self.unsent <= MAX_UNSENT
+            && Instant::now() < self.deadline
+    }
+
+    fn take_budget(&self) -> bool {
+        self.shared.with_budget(&self.service, |budget, now_ms, gateways| {
+            budget.take(now_ms, gateways)
+        })
+    }
+
+    fn give_up_late(&mut self) -> Obtained {
+        "out of time".clone_into(&mut self.reason);
+        self.give_up()
+    }
+
+    /// The answer to a request for which nothing more may be tried.
+    fn give_up(&mut self) -> Obtained {
+        if let Some((head, body)) = self.last_failure.take() {
+            // These statuses promise that the request has not run.
+            if !matches!(head.status, 408 | 421 | 429 | 503) {
+                return Obtained::Whole { head, body };
+            }
+        }
+        Obtained::GivenUp(self.refusal(FULL_RETRY_MS))
+    }
+
+    /// A refusal with the time to come back if the request has not run.
+    fn refusal(&self, retry_after_ms: u64) -> GivenUp {
+        let is_late = Instant::now() >= self.deadline;
+        match (self.may_have_run, is_late) {
+            (true, true) => GivenUp { status: 504, retry_after_ms: None },
+            (true, false) => GivenUp { status: 502, retry_after_ms: None },
+            (false, _) => GivenUp { status: 503, retry_after_ms: Some(retry_after_ms) },
+        }
+    }
+
+    fn first_event(&mut self) {
+        let now = Instant::now();
+        self.first_event_at = Some(now);
+        let labels = LengthLabels { prompt: prompt_class(self.fields.prompt_tokens) };
+        let seconds = (now - self.arrived).as_secs_f64();
+        self.shared.metrics.first_event_seconds.get_or_create(&labels).observe(seconds);
+    }
+
+    fn count_attempt(&self, outcome: &'static str) {
+        self.shared.metrics.attempts.get_or_create(&AttemptLabels { outcome }).inc();
+    }
+
+    fn request_id(&self) -> &str {
+        self.fields.request_id.as_deref().unwrap_or("")
+    }
+
+    /// Counts and logs the end of the request.
+    fn end(&self, outcome: &'static str, status: u16) {
+        let now = Instant::now();
+        let kind = match self.route.kind {
+            RouteKind::Safe => "safe",
+            RouteKind::Unsafe => "unsafe",
+            RouteKind::Stream => "stream",
+            RouteKind::ResumableStream => "resumable_stream",
+        };
+        let metrics = &self.shared.metrics;
+        metrics.requests.get_or_create(&RequestLabels { kind, outcome }).inc();
+        metrics.request_seconds.observe((now - self.arrived).as_secs_f64());
+        let first_event_ms = self.first_event_at.map_or(0, |at| (at - self.arrived).as_millis());
+        tracing::info!(
+            event = "request_ended",
+            request_id = self.request_id(),
+            route = %self.route.name,
+            outcome,
+            status,
+            target_id = self.last_target.as_deref().unwrap_or(""),
+            sends = self.sends,
+            unsent = self.unsent,
+            prompt_tokens = self.fields.prompt_tokens,
+            first_event_ms,
+            total_ms = (now - self.arrived).as_millis(),
+            config_version = self.table.version(),
+            reason = %Shown(&self.reason)
+        );
+    }
+}
+
+/// Shows why a request failed, or a dash.
+struct Shown<'a>(&'a str);
+
+impl fmt::Display for Shown<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(if self.0.is_empty() { "-" } else { self.0 })
+    }
+}
+
+/// How the stream of one engine ended.
+enum Ended {
+    Complete,
+    ClientLeft,
+    OutOfTime,
+    Broken(String),
+}
+
+/// A service of the route, by weight.
+fn choose_service(route: &Route) -> Arc<str> {
+    let total: u64 = route.backends.iter().map(|backend| u64::from(backend.weight)).sum();
+    let mut drawn = rand::rng().random_range(0..total.max(1));
+    for backend in &route.backends {
+        let weight = u64::from(backend.weight);
+        if drawn < weight {
+            return backend.service.clone();
+        }
+        drawn -= weight;
+    }
+    // A checked route has a weight above 0.
+    route.backends.first().map_or_else(|| "".into(), |backend| backend.service.clone())
+}
+
+/// Rank at the engine: short prompts are read before long ones.
+fn engine_priority(prompt_tokens: u64) -> u8 {
+    match prompt_tokens {
+        0..16_000 => 1,
+        16_000..64_000 => 3,
+        _ => 5,
+    }
+}
+
+fn stream_head(answer: &ResponseHead, keeps_alive: bool) -> ResponseHead {
+    let mut head = answer.clone();
+    head.headers.remove_connection_fields();
+    head.headers.remove("content-length");
+    head.headers.push("Transfer-Encoding", b"chunked");
+    if !keeps_alive {
+        head.headers.push("Connection", b"close");
+    }
+    head
+}
+
+/// Sends a whole answer of a target.
+async fn send_whole(
+    client: &mut Http1Connection,
+    mut head: ResponseHead,
+    body: &[u8],
+    keeps_alive: bool,
+) -> Next {
+    head.headers.remove_connection_fields();
+    head.headers.set("Content-Length", body.len().to_string().as_bytes());
+    if !keeps_alive {
+        head.headers.push("Connection", b"close");
+    }
+    send(client, &head, body, keeps_alive).await
+}
+
+/// Sends an answer of the gateway itself.
+async fn send_own(
+    client: &mut Http1Connection,
+    given_up: &GivenUp,
+    reason: &str,
+    keeps_alive: bool,
+) -> Next {
+    let body = format!("{reason}\n");
+    let mut head = ResponseHead::new(given_up.status);
+    head.headers.push("Content-Type", b"text/plain; charset=utf-8");
+    head.headers.push("Content-Length", body.len().to_string().as_bytes());
+    if let Some(retry_after_ms) = given_up.retry_after_ms {
+        let seconds = format!("{:.3}", Duration::from_millis(retry_after_ms).as_secs_f64());
+        head.headers.push("Retry-After", seconds.as_bytes());
+    }
+    if !keeps_alive {
+        head.headers.push("Connection", b"close");
+    }
+    send(client, &head, body.as_bytes(), keeps_alive).await
+}
+
+async fn send(
+    client: &mut Http1Connection,
+    head: &ResponseHead,
+    body: &[u8],
+    keeps_alive: bool,
+) -> Next {
+    let mut bytes = Vec::with_capacity(512 + body.len());
+    head.encode(&mut bytes);
+    bytes.extend_from_slice(body);
+    let is_sent = client.write_all(&bytes).await.is_ok();
+    if is_sent && keeps_alive { Next::KeepAlive } else { Next::Close }
+}
--- /dev/null
+++ b/crates/mulberry-gateway/src/fleet_view.rs
@@ -0,0 +1,144 @@
+//! What a gateway knows of targets, zones and other gateways.
+
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use mulberry_directory::{GatewayInfo, Observed, TargetRecord, TargetState, TargetTable};
+
+/// What a gateway knows of targets, zones and other gateways.
+#[derive(Debug, Default)]
+pub struct FleetView {
+    targets: TargetTable,
+
+    /// When each target stops being cold.
+    warm_at_ms: HashMap<Arc<str>, u64>,
+
+    evacuated: BTreeSet<Arc<str>>,
+    evacuated_index: u64,
+
+    /// Targets that each linked registry has not heard from lately.
+    silent: HashMap<SocketAddr, HashSet<Arc<str>>>,
+
+    /// Since when all linked registries have missed a target.
+    silent_since_ms: HashMap<Arc<str>, u64>,
+
+    gateways: Vec<GatewayInfo>,
+
+    /// Most gateways seen at a time, so that a share of a common limit does not grow when a link is lost.
+    most_gateways: usize,
+}
+
+impl FleetView {
+    /// Records announcements. True when anything changed.
+    pub fn observe(&mut self, now_ms: u64, records: Vec<TargetRecord>) -> bool {
+        let mut has_changed = false;
+        for record in records {
+            let id = record.id.clone();
+            let warm_at_ms = now_ms + record.cold_left_ms;
+            if self.targets.observe(now_ms, record) != Observed::Outdated {
+                self.warm_at_ms.insert(id, warm_at_ms);
+                has_changed = true;
+            }
+        }
+        has_changed
+    }
+
+    /// Records that a target answered as cold.
+    pub fn set_cold(&mut self, now_ms: u64, id: &Arc<str>, cold_ms: u64) {
+        self.warm_at_ms.insert(id.clone(), now_ms + cold_ms);
+    }
+
+    /// Records the evacuated zones as of an index. True when they changed.
+    pub fn set_evacuated(&mut self, index: u64, zones: Vec<Arc<str>>) -> bool {
+        if index <= self.evacuated_index {
+            return false;
+        }
+        self.evacuated_index = index;
+        self.evacuated = zones.into_iter().collect();
+        true
+    }
+
+    pub fn evacuated(&self) -> &BTreeSet<Arc<str>> {
+        &self.evacuated
+    }
+
+    /// Records the targets that a linked registry misses.
+    pub fn set_silent(&mut self, now_ms: u64, registry: SocketAddr, ids: Vec<Arc<str>>) {
+        self.silent.insert(registry, ids.into_iter().collect());
+        self.update_silence(now_ms);
+    }
+
+    /// Forgets what a registry missed, since its link is lost.
+    pub fn registry_lost(&mut self, now_ms: u64, registry: SocketAddr) {
+        self.silent.remove(&registry);
+        self.update_silence(now_ms);
+    }
+
+    /// Since when all linked registries have missed a target.
+    pub fn silent_since_ms(&self, id: &str) -> Option<u64> {
+        self.silent_since_ms.get(id).copied()
+    }
+
+    /// Records the gateways. True when they changed.
+    pub fn set_gateways(&mut self, gateways: Vec<GatewayInfo>) -> bool {
+        if gateways == self.gateways {
+            return false;
+        }
+        self.most_gateways = self.most_gateways.max(gateways.len());
+        self.gateways = gateways;
+        true
+    }
+
+    pub fn gateways(&self) -> &[GatewayInfo] {
+        &self.gateways
+    }
+
+    /// Gateways among which a common limit is shared.
+    pub fn sharing_gateways(&self) -> usize {
+        self.most_gateways.max(1)
+    }
+
+    pub fn get(&self, id: &str) -> Option<&TargetRecord> {
+        self.targets.get(id)
+    }
+
+    /// Targets of a service that may get new requests.
+    pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a TargetRecord> + 'a {
+        self.targets.iter().map(|(record, _)| record).filter(move |record| {
+            &*record.service == service
+                && record.state == TargetState::Ready
+                && !self.evacuated.contains(&record.zone)
+        })
+    }
+
+    /// Whether a target may get a new request.
+    pub fn is_usable(&self, id: &str) -> bool {
+        self.get(id).is_some_and(|record| {
+            record.state == TargetState::Ready && !self.evacuated.contains(&record.zone)
+        })
+    }
+
+    /// Whether a target is known and has not left.
+    pub fn is_present(&self, id: &str) -> bool {
+        self.get(id).is_some_and(|record| record.state != TargetState::Gone)
+    }
+
+    /// How much longer a target is cold.
+    pub fn cold_left_ms(&self, now_ms: u64, id: &str) -> u64 {
+        self.warm_at_ms.get(id).map_or(0, |at_ms| at_ms.saturating_sub(now_ms))
+    }
+
+    fn update_silence(&mut self, now_ms: u64) {
+        let mut lists = self.silent.values();
+        let Some(first) = lists.next() else {
+            self.silent_since_ms.clear();
+            return;
+        };
+        let missed: HashSet<Arc<str>> = lists.fold(first.clone(), |all, list| &all & list);
+        self.silent_since_ms.retain(|id, _| missed.contains(id));
+        for id in missed {
+            self.silent_since_ms.entry(id).or_insert(now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mulberry-gateway/src/lib.rs
@@ -0,0 +1,31 @@
+//! A gateway: takes requests of callers and passes each on to a target of the service that its route names.
+//!
+//! One thread serves everything, since a gateway may have a quarter of a core. What is decided without a socket lies
+//! in modules of its own: which targets can be used ([`FleetView`]), whether a further attempt is allowed
+//! ([`RetryBudget`]), what of a stream is passed on ([`EventRelay`]).
+
+mod attempt;
+mod caller_server;
+mod dialect;
+mod event_relay;
+mod exchange;
+mod fleet_view;
+mod gateway;
+mod metrics;
+mod placement;
+mod ready_server;
+mod registry_links;
+mod retry_budget;
+mod settings;
+mod shared;
+mod sockets;
+mod target_health;
+mod target_pool;
+
+pub use dialect::{AnswerFields, CallerFields, Dialect, ForwardFields, TargetCall};
+pub use event_relay::{EventRelay, RelayError};
+pub use fleet_view::FleetView;
+pub use gateway::{Gateway, GatewayError, Reload};
+pub use retry_budget::RetryBudget;
+pub use settings::{GatewaySettings, RetrySettings};
+pub use target_health::TargetHealth;
--- /dev/null
+++ b/crates/mulberry-gateway/src/metrics.rs
@@ -0,0 +1,126 @@
+//! Metrics of a gateway.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Labels of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RequestLabels {
+    pub kind: &'static str,
+    pub outcome: &'static str,
+}
+
+/// Labels of what happened at a target.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct AttemptLabels {
+    pub outcome: &'static str,
+}
+
+/// Labels of a placement.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct PlacementLabels {
+    pub decided_by: &'static str,
+    pub decision: &'static str,
+}
+
+/// Labels of the time to the first event.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct LengthLabels {
+    pub prompt: &'static str,
+}
+
+/// Metrics of a gateway.
+#[derive(Debug, Clone)]
+pub(crate) struct GatewayMetrics {
+    pub requests: Family<RequestLabels, Counter>,
+    pub attempts: Family<AttemptLabels, Counter>,
+    pub placements: Family<PlacementLabels, Counter>,
+    pub first_event_seconds: Family<LengthLabels, Histogram>,
+    pub request_seconds: Histogram,
+    pub placement_seconds: Histogram,
+    pub active_requests: Gauge,
+    pub connections: Gauge,
+    pub target_connections: Counter,
+    pub links: Gauge,
+    pub config_version: Gauge,
+    pub usable_targets: Gauge,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> GatewayMetrics {
+        let seconds = || Histogram::new(exponential_buckets(0.005, 2.0, 12));
+        GatewayMetrics {
+            requests: Family::default(),
+            attempts: Family::default(),
+            placements: Family::default(),
+            first_event_seconds: Family::new_with_constructor(seconds),
+            request_seconds: seconds(),
+            placement_seconds: Histogram::new(exponential_buckets(0.0005, 2.0, 10)),
+            active_requests: Gauge::default(),
+            connections: Gauge::default(),
+            target_connections: Counter::default(),
+            links: Gauge::default(),
+            config_version: Gauge::default(),
+            usable_targets: Gauge::default(),
+        }
+    }
+}
+
+impl GatewayMetrics {
+    pub(crate) fn register(&self, r: &mut Registry) {
+        r.register("mulberry_gateway_requests", "Requests of callers", self.requests.clone());
+        r.register("mulberry_gateway_attempts", "Sends to targets", self.attempts.clone());
+        r.register("mulberry_gateway_placements", "Placements", self.placements.clone());
+        r.register(
+            "mulberry_gateway_first_event_seconds",
+            "Time to the first event of a stream",
+            self.first_event_seconds.clone(),
+        );
+        r.register(
+            "mulberry_gateway_request_seconds",
+            "Time of a request",
+            self.request_seconds.clone(),
+        );
+        r.register(
+            "mulberry_gateway_placement_seconds",
+            "Time to learn where a request runs",
+            self.placement_seconds.clone(),
+        );
+        r.register(
+            "mulberry_gateway_active_requests",
+            "Requests that are served",
+            self.active_requests.clone(),
+        );
+        r.register("mulberry_gateway_connections", "Callers connected", self.connections.clone());
+        r.register(
+            "mulberry_gateway_target_connections",
+            "Connections made to targets",
+            self.target_connections.clone(),
+        );
+        r.register("mulberry_gateway_links", "Registries linked", self.links.clone());
+        r.register(
+            "mulberry_gateway_config_version",
+            "Version of the configuration in force",
+            self.config_version.clone(),
+        );
+        r.register(
+            "mulberry_gateway_usable_targets",
+            "Targets that may get requests",
+            self.usable_targets.clone(),
+        );
+    }
+}
+
+/// Length class of a prompt.
+pub(crate) fn prompt_class(tokens: u64) -> &'static str {
+    match tokens {
+        0..2_000 => "up_to_2k",
+        2_000..16_000 => "2k_to_16k",
+        16_000..128_000 => "16k_to_128k",
+        _ => "over_128k",
+    }
+}
--- /dev/null
+++ b/crates/mulberry-gateway/src/ready_server.rs
@@ -0,0 +1,58 @@
+//! Tells the balancer whether the gateway is ready.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use mulberry_http1::{Http1Connection, ResponseHead};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+use crate::shared::Shared;
+
+/// Longest head of a question.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+
+/// Time for a connection to send its next question.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves for good.
+pub(crate) async fn serve(listener: TcpListener, shared: Rc<Shared>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(answer(stream, shared.clone()));
+            }
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer(stream: TcpStream, shared: Rc<Shared>) {
+    let mut connection = Http1Connection::new(stream);
+    loop {
+        let Ok(Ok(head)) = timeout(IDLE, connection.read_request(MAX_HEAD_BYTES)).await else {
+            return;
+        };
+        let status = match shared.dialect.is_ready_call(&head.method, head.path()) {
+            true if shared.is_ready() => 200,
+            true => 503,
+            false => 404,
+        };
+        let mut answer = ResponseHead::new(status);
+        answer.headers.push("Content-Length", b"0");
+        if !head.keeps_alive() {
+            answer.headers.push("Connection", b"close");
+        }
+        let mut bytes = Vec::new();
+        answer.encode(&mut bytes);
+        if connection.write_all(&bytes).await.is_err() || !head.keeps_alive() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/mulberry-gateway/src/shared.rs
@@ -0,0 +1,187 @@
+//! What the tasks of a gateway share. All of them run on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use mulberry_directory::GatewayInfo;
+use mulberry_routes::{RouteTable, RoutingConfig};
+
+use crate::metrics::GatewayMetrics;
+use crate::placement::Placer;
+use crate::target_pool::TargetPool;
+use crate::{Dialect, FleetView, GatewaySettings, RetryBudget, TargetHealth};
+
+/// Time for a configuration that was asked for to come before another registry is asked.
+const CONFIG_PATIENCE_MS: u64 = 250;
+
+/// What the tasks of a gateway share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub settings: GatewaySettings,
+    pub dialect: Rc<dyn Dialect>,
+    pub incarnation: u64,
+    pub fleet: RefCell<FleetView>,
+    pub health: RefCell<TargetHealth>,
+    pub pool: TargetPool,
+    pub placer: Placer,
+    pub metrics: GatewayMetrics,
+    pub is_stopping: Cell<bool>,
+    pub links: Cell<usize>,
+    pub active: Cell<usize>,
+    pub connections: Cell<usize>,
+    table: RefCell<Option<Rc<RouteTable>>>,
+    budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
+
+    /// Version that was asked for last, and when.
+    asked: Cell<(u64, u64)>,
+
+    started: Instant,
+    started_wall_ms: u64,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        dialect: Rc<dyn Dialect>,
+        incarnation: u64,
+        placer: Placer,
+    ) -> Shared {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Shared {
+            settings,
+            dialect,
+            incarnation,
+            fleet: RefCell::default(),
+            health: RefCell::default(),
+            pool: TargetPool::default(),
+            placer,
+            metrics: GatewayMetrics::default(),
+            is_stopping: Cell::new(false),
+            links: Cell::new(0),
+            active: Cell::new(0),
+            connections: Cell::new(0),
+            table: RefCell::default(),
+            budgets: RefCell::default(),
+            asked: Cell::default(),
+            started: Instant::now(),
+            started_wall_ms: since.as_millis() as u64,
+        }
+    }
+
+    /// Milliseconds since the start, by the monotonic clock.
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    pub(crate) fn info(&self) -> GatewayInfo {
+        GatewayInfo {
+            name: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            started_ms: self.started_wall_ms,
+            address: self.settings.gateway_address,
+            takes_part: !self.is_stopping.get(),
+        }
+    }
+
+    /// The configuration in force.
+    pub(crate) fn table(&self) -> Option<Rc<RouteTable>> {
+        self.table.borrow().clone()
+    }
+
+    pub(crate) fn config_version(&self) -> u64 {
+        self.table.borrow().as_ref().map_or(0, |table| table.version())
+    }
+
+    /// Whether a configuration of this version should be asked for now. Several registries tell of it at once.
+    pub(crate) fn is_config_wanted(&self, version: u64) -> bool {
+        let (asked_version, asked_ms) = self.asked.get();
+        let now_ms = self.now_ms();
+        let is_asked = asked_version >= version && now_ms < asked_ms + CONFIG_PATIENCE_MS;
+        if version <= self.config_version() || is_asked {
+            return false;
+        }
+        self.asked.set((version, now_ms));
+        true
+    }
+
+    /// Puts a configuration in force unless one of the same or a higher version is.
+    pub(crate) fn put_in_force(&self, config: RoutingConfig) {
+        let before = self.config_version();
+        let is_first = self.table.borrow().is_none();
+        if !is_first && config.version <= before {
+            return;
+        }
+        tracing::info!(
+            event = "config_in_force",
+            version = config.version,
+            before,
+            routes = config.routes.len(),
+            services = config.services.len()
+        );
+        self.metrics.config_version.set(i64::try_from(config.version).unwrap_or(i64::MAX));
+        *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
+        self.refresh_engines();
+    }
+
+    /// Tells the scheduler which engines may be used.
+    pub(crate) fn refresh_engines(&self) {
+        let Some(table) = self.table() else { return };
+        let now_ms = self.now_ms();
+        let fleet = self.fleet.borrow();
+        let health = self.health.borrow();
+        self.placer.set_engines(now_ms, &table, &fleet, &health);
+        let services = table.config().services.iter();
+        let usable: usize = services.map(|service| fleet.usable(&service.name).count()).sum();
+        self.metrics.usable_targets.set(i64::try_from(usable).unwrap_or(i64::MAX));
+    }
+
+    /// Runs `f` on the budget of a service.
+    pub(crate) fn with_budget<T>(
+        &self,
+        service: &Arc<str>,
+        f: impl FnOnce(&mut RetryBudget, u64, usize) -> T,
+    ) -> T {
+        let now_ms = self.now_ms();
+        let gateways = self.fleet.borrow().sharing_gateways();
+        let mut budgets = self.budgets.borrow_mut();
+        let settings = self.settings.retry;
+        let budget =
+            budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(settings));
+        f(budget, now_ms, gateways)
+    }
+
+    /// Whether new requests may be served.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping.get()
+            && self.table.borrow().is_some()
+            && !(self.settings.refuse_when_unlinked && self.links.get() == 0)
+    }
+}
+
+/// Counts something while it lives.
+#[derive(Debug)]
+pub(crate) struct Counted<'a> {
+    cell: &'a Cell<usize>,
+    gauge: &'a prometheus_client::metrics::gauge::Gauge,
+}
+
+impl<'a> Counted<'a> {
+    pub(crate) fn new(
+        cell: &'a Cell<usize>,
+        gauge: &'a prometheus_client::metrics::gauge::Gauge,
+    ) -> Counted<'a> {
+        cell.set(cell.get() + 1);
+        gauge.inc();
+        Counted { cell, gauge }
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.cell.set(self.cell.get() - 1);
+        self.gauge.dec();
+    }
+}
--- /dev/null
+++ b/crates/mulberry-http1/src/connection.rs
@@ -0,0 +1,249 @@
+//! A connection that reads heads and bodies.
+
+use std::fmt;
+use std::io;
+
+use bytes::BytesMut;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+
+use crate::{BodyDecoder, BodyError, HeadError, RequestHead, ResponseHead};
+
+/// Bytes asked of the kernel at a time.
+const READ_BYTES: usize = 16 * 1024;
+
+/// Bytes of later requests that are kept while one is answered.
+const MAX_AHEAD_BYTES: usize = 64 * 1024;
+
+/// A socket and the bytes read from it that belong to no message yet.
+#[derive(Debug)]
+pub struct Http1Connection {
+    stream: TcpStream,
+    input: BytesMut,
+}
+
+/// Why reading a message failed.
+#[derive(Debug)]
+pub enum ReadError {
+    /// The peer has closed the connection between two messages.
+    Closed,
+
+    /// The connection failed or ended within a message.
+    Io(io::Error),
+
+    Head(HeadError),
+    Body(BodyError),
+
+    /// The head is longer than allowed.
+    HeadTooLong,
+
+    /// The body is longer than allowed.
+    BodyTooLong,
+}
+
+impl Http1Connection {
+    pub fn new(stream: TcpStream) -> Http1Connection {
+        Http1Connection { stream, input: BytesMut::new() }
+    }
+
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Whether bytes have come that belong to no message.
+    pub fn has_unread(&self) -> bool {
+        !self.input.is_empty()
+    }
+
+    /// Reads the head of a request of at most `max_bytes`.
+    ///
+    /// # Errors
+    /// The connection ended, or the head cannot be used.
+    pub async fn read_request(&mut self, max_bytes: usize) -> Result<RequestHead, ReadError> {
+        loop {
+            match RequestHead::parse(&self.input).map_err(ReadError::Head)? {
+                Some((_, length)) if length > max_bytes => return Err(ReadError::HeadTooLong),
+                Some((head, length)) => {
+                    self.consume(length);
+                    return Ok(head);
+                }
+                None if self.input.len() > max_bytes => return Err(ReadError::HeadTooLong),
+                None => self.fill_head().await?,
+            }
+        }
+    }
+
+    /// Reads the head of a response of at most `max_bytes`; interim responses are skipped.
+    ///
+    /// # Errors
+    /// As [`Http1Connection::read_request`].
+    pub async fn read_response(&mut self, max_bytes: usize) -> Result<ResponseHead, ReadError> {
+        loop {
+            match ResponseHead::parse(&self.input).map_err(ReadError::Head)? {
+                Some((_, length)) if length > max_bytes => return Err(ReadError::HeadTooLong),
+                Some((head, length)) => {
+                    self.consume(length);
+                    if head.status >= 200 {
+                        return Ok(head);
+                    }
+                }
+                None if self.input.len() > max_bytes => return Err(ReadError::HeadTooLong),
+                None => self.fill_head().await?,
+            }
+        }
+    }
+
+    /// Appends the next part of a body to `output`; done when the decoder says so.
+    ///
+    /// # Errors
+    /// The body is malformed, or the connection ended before it.
+    pub async fn read_body(
+        &mut self,
+        decoder: &mut BodyDecoder,
+        output: &mut Vec<u8>,
+    ) -> Result<(), ReadError> {
+        let had = output.len();
+        loop {
+            decoder.decode(&mut self.input, output).map_err(ReadError::Body)?;
+            if decoder.is_done() || output.len() > had {
+                return Ok(());
+            }
+            if self.fill().await.map_err(ReadError::Io)? == 0 {
+                return decoder.end_of_input().map_err(ReadError::Body);
+            }
+        }
+    }
+
+    /// Reads a whole body of at most `max_bytes`.
+    ///
+    /// # Errors
+    /// As [`Http1Connection::read_body`], or the body is too long.
+    pub async fn read_whole_body(
+        &mut self,
+        mut decoder: BodyDecoder,
+        max_bytes: usize,
+    ) -> Result<Vec<u8>, ReadError> {
+        let mut body = Vec::new();
+        while !decoder.is_done() {
+            self.read_body(&mut decoder, &mut body).await?;
+            if body.len() > max_bytes {
+                return Err(ReadError::BodyTooLong);
+            }
+        }
+        Ok(body)
+    }
+
+    /// Waits until a byte has come or the peer has closed.
+    ///
+    /// # Errors
+    /// The connection ended before the first byte of a message.
+    pub async fn wait_for_message(&mut self) -> Result<(), ReadError> {
+        while self.input.is_empty() {
+            if self.fill().await.map_err(ReadError::Io)? == 0 {
+                return Err(ReadError::Closed);
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns once the peer has closed or reset the connection. Bytes that come meanwhile are kept for the next
+    /// message, up to a bound.
+    pub async fn wait_closed(&mut self) {
+        while self.input.len() < MAX_AHEAD_BYTES {
+            match self.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+        std::future::pending().await
+    }
+
+    /// Whether the peer has neither sent anything nor closed the connection, as far as can be seen without waiting.
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [0];
+        self.input.is_empty()
+            && matches!(self.stream.try_read(&mut byte),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Sends bytes.
+    ///
+    /// # Errors
+    /// The connection failed.
+    pub async fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Sends bytes while looking for an early response. True when all bytes were sent; false when the peer has sent
+    /// something or closed before.
+    ///
+    /// # Errors
+    /// The connection failed.
+    pub async fn write_watching(&mut self, bytes: &[u8]) -> io::Result<bool> {
+        let (mut reader, mut writer) = self.stream.split();
+        if self.input.capacity() - self.input.len() < READ_BYTES {
+            self.input.reserve(READ_BYTES);
+        }
+        tokio::select! {
+            biased;
+            written = writer.write_all(bytes) => written.map(|()| true),
+            read = reader.read_buf(&mut self.input) => read.map(|_| false),
+        }
+    }
+
+    /// Ends the sending direction; the peer sees the end of the stream.
+    ///
+    /// # Errors
+    /// The connection failed before.
+    pub async fn shutdown(&mut self) -> io::Result<()> {
+        self.stream.shutdown().await
+    }
+
+    async fn fill_head(&mut self) -> Result<(), ReadError> {
+        let was_empty = self.input.is_empty();
+        match self.fill().await {
+            Ok(0) if was_empty => Err(ReadError::Closed),
+            Ok(0) => Err(ReadError::Io(io::ErrorKind::UnexpectedEof.into())),
+            Ok(_) => Ok(()),
+            Err(error) => Err(ReadError::Io(error)),
+        }
+    }
+
+    async fn fill(&mut self) -> io::Result<usize> {
+        self.input.reserve(READ_BYTES);
+        self.stream.read_buf(&mut self.input).await
+    }
+
+    fn consume(&mut self, length: usize) {
+        let _head = self.input.split_to(length);
+        if self.input.is_empty() {
+            // Gives the buffer back, so that idle connections hold none.
+            self.input = BytesMut::new();
+        }
+    }
+}
+
+impl ReadError {
+    /// Whether the connection ended or failed, as opposed to a message that cannot be used.
+    pub fn is_disconnect(&self) -> bool {
+        matches!(
+            self,
+            ReadError::Closed | ReadError::Io(_) | ReadError::Body(BodyError::Truncated)
+        )
+    }
+}
+
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ReadError::Closed => f.write_str("the peer closed the connection"),
+            ReadError::Io(error) => error.fmt(f),
+            ReadError::Head(error) => error.fmt(f),
+            ReadError::Body(error) => error.fmt(f),
+            ReadError::HeadTooLong => f.write_str("the head is too long; send fewer header fields"),
+            ReadError::BodyTooLong => f.write_str("the body is too long; send a shorter one"),
+        }
+    }
+}
+
+impl std::error::Error for ReadError {}
--- /dev/null
+++ b/crates/mulberry-registry/src/gateway_links.rs
@@ -0,0 +1,69 @@
+//! Links of gateways to this registry.
+
+use std::collections::HashMap;
+
+use mulberry_directory::{GatewayInfo, RegistryMessage};
+use tokio::sync::mpsc::{Sender, channel};
+
+/// Messages that may wait for one gateway. A gateway that reads no more is cut off, and gets everything when it
+/// connects again.
+const MAX_WAITING: usize = 1_024;
+
+/// Links of gateways to this registry.
+#[derive(Debug, Default)]
+pub(crate) struct GatewayLinks {
+    next: u64,
+    links: HashMap<u64, GatewayLink>,
+}
+
+#[derive(Debug)]
+struct GatewayLink {
+    info: GatewayInfo,
+    messages: Sender<RegistryMessage>,
+}
+
+/// A link that has been added.
+#[derive(Debug)]
+pub(crate) struct AddedLink {
+    pub id: u64,
+    pub messages: tokio::sync::mpsc::Receiver<RegistryMessage>,
+}
+
+impl GatewayLinks {
+    pub(crate) fn add(&mut self, info: GatewayInfo) -> AddedLink {
+        self.next += 1;
+        let (sender, messages) = channel(MAX_WAITING);
+        // A gateway connects again when its former connection is lost, often before this side has noticed.
+        self.links.retain(|_, link| link.info.name != info.name);
+        self.links.insert(self.next, GatewayLink { info, messages: sender });
+        AddedLink { id: self.next, messages }
+    }
+
+    pub(crate) fn update(&mut self, id: u64, info: GatewayInfo) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.info = info;
+        }
+    }
+
+    /// Whether the link was there.
+    pub(crate) fn remove(&mut self, id: u64) -> bool {
+        self.links.remove(&id).is_some()
+    }
+
+    pub(crate) fn send(&mut self, id: u64, message: RegistryMessage) {
+        let Some(link) = self.links.get(&id) else { return };
+        if link.messages.try_send(message).is_err() {
+            tracing::warn!(event = "gateway_cut_off", gateway = %link.info.name);
+            self.links.remove(&id);
+        }
+    }
+
+    pub(crate) fn send_all(&mut self, message: &RegistryMessage) {
+        let ids: Vec<u64> = self.links.keys().copied().collect();
+        ids.into_iter().for_each(|id| self.send(id, message.clone()));
+    }
+
+    pub(crate) fn infos(&self) -> Vec<GatewayInfo> {
+        self.links.values().map(|link| link.info.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/mulberry-registry/src/membership.rs
@@ -0,0 +1,85 @@
+//! Which change of its members a group needs next.
+//!
+//! A replica that has lost its disk comes back as a new member at the old address; a replaced one comes at another
+//! address while the old one stays silent. In both cases the new member first catches up as a learner. Then the silent
+//! voter is removed and the learner promoted, one after the other, so that no majority is ever made of members that
+//! lack acknowledged entries.
+
+use mulberry_consensus::{MemberId, Members};
+
+/// Silence after which a voter may be replaced by a learner that has caught up.
+pub const REPLACE_AFTER_MS: u64 = 1_200;
+
+/// Silence after which a learner is removed.
+const DROP_LEARNER_AFTER_MS: u64 = 20_000;
+
+/// A replica as the leader sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemberView {
+    pub member: MemberId,
+
+    /// Time since it last answered or introduced itself; `None` if it never did.
+    pub silent_ms: Option<u64>,
+
+    /// Whether it has all committed entries.
+    pub is_caught_up: bool,
+
+    /// Whether another replica has introduced itself at its address since.
+    pub is_displaced: bool,
+}
+
+/// The next change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MembershipPlan {
+    pub members: Members,
+    pub reason: &'static str,
+}
+
+/// Plans the next change of `members`, seen from the leader `own`. `views` holds all replicas that have introduced
+/// themselves or are members; `wanted_voters` is the size of the group.
+pub fn plan_membership(
+    own: MemberId,
+    members: &Members,
+    views: &[MemberView],
+    wanted_voters: usize,
+) -> Option<MembershipPlan> {
+    let view = |member: MemberId| views.iter().find(|view| view.member == member);
+    let is_alive = |member: MemberId| {
+        member == own
+            || view(member).is_some_and(|view| {
+                !view.is_displaced && view.silent_ms.is_some_and(|ms| ms < REPLACE_AFTER_MS)
+            })
+    };
+    let mut changed = members.clone();
+
+    let stranger =
+        views.iter().find(|view| !members.contains(view.member) && is_alive(view.member));
+    if let Some(stranger) = stranger {
+        changed.learners.push(stranger.member);
+        return Some(MembershipPlan { members: changed, reason: "new_member" });
+    }
+
+    let successor = members.learners.iter().copied().find(|&learner| {
+        is_alive(learner) && view(learner).is_some_and(|view| view.is_caught_up)
+    });
+    if let Some(successor) = successor {
+        if members.voters.len() < wanted_voters {
+            changed.learners.retain(|&learner| learner != successor);
+            changed.voters.push(successor);
+            return Some(MembershipPlan { members: changed, reason: "caught_up" });
+        }
+        let lost = members.voters.iter().copied().find(|&voter| !is_alive(voter));
+        if let Some(lost) = lost {
+            changed.voters.retain(|&voter| voter != lost);
+            return Some(MembershipPlan { members: changed, reason: "voter_lost" });
+        }
+    }
+
+    let silent = members.learners.iter().copied().find(|&learner| {
+        view(learner).is_none_or(|view| {
+            view.is_displaced || view.silent_ms.is_none_or(|ms| ms > DROP_LEARNER_AFTER_MS)
+        })
+    })?;
+    changed.learners.retain(|&learner| learner != silent);
+    Some(MembershipPlan { members: changed, reason: "learner_lost" })
+}
--- /dev/null
+++ b/crates/mulberry-registry/src/peer_links.rs
@@ -0,0 +1,98 @@
+//! Links to the other registries: one connection each, on which this registry only sends.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mulberry_directory::{LinkMessage, encode_frame};
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::{Receiver, Sender, channel};
+use tokio::time::{sleep, timeout};
+
+use crate::peer_message::PeerMessage;
+use crate::sockets;
+
+/// Messages that may wait for one link; more are dropped, and sent again by who needs them.
+const MAX_WAITING: usize = 256;
+
+/// Time for a connection to be made.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// Pause after a failed connection.
+const RECONNECT: Duration = Duration::from_millis(150);
+
+/// Links to the other registries by address.
+#[derive(Debug, Default)]
+pub(crate) struct PeerLinks {
+    links: HashMap<SocketAddr, Sender<PeerMessage>>,
+}
+
+impl PeerLinks {
+    /// Sends a message to the registry at `address`, and connects to it first if need be.
+    pub(crate) fn send(&mut self, address: SocketAddr, message: PeerMessage) {
+        let link = self.links.entry(address).or_insert_with(|| {
+            let (sender, receiver) = channel(MAX_WAITING);
+            tokio::task::spawn_local(run(address, receiver));
+            sender
+        });
+        if link.try_send(message).is_err() {
+            tracing::debug!(event = "peer_message_dropped", peer = %address);
+        }
+    }
+
+    /// Closes links to other addresses than these.
+    pub(crate) fn keep(&mut self, addresses: &[SocketAddr]) {
+        self.links.retain(|address, _| addresses.contains(address));
+    }
+}
+
+async fn run(address: SocketAddr, mut messages: Receiver<PeerMessage>) {
+    let mut connection: Option<TcpStream> = None;
+    let mut is_reported = false;
+    while let Some(message) = messages.recv().await {
+        let mut bytes = Vec::new();
+        encode(message, &mut bytes);
+        while let Ok(message) = messages.try_recv() {
+            encode(message, &mut bytes);
+        }
+        if connection.is_none() {
+            connection = match connect(address).await {
+                Ok(stream) => {
+                    tracing::info!(event = "peer_link_up", peer = %address);
+                    is_reported = false;
+                    Some(stream)
+                }
+                Err(error) => {
+                    if !is_reported {
+                        tracing::warn!(event = "peer_link_down", peer = %address, %error);
+                        is_reported = true;
+                    }
+                    // What waited meanwhile is out of date.
+                    sleep(RECONNECT).await;
+                    while messages.try_recv().is_ok() {}
+                    None
+                }
+            };
+        }
+        let Some(stream) = &mut connection else { continue };
+        if let Err(error) = stream.write_all(&bytes).await {
+            tracing::warn!(event = "peer_link_lost", peer = %address, %error);
+            connection = None;
+        }
+    }
+}
+
+fn encode(message: PeerMessage, bytes: &mut Vec<u8>) {
+    if let Err(error) = encode_frame(&LinkMessage::Peer(message), bytes) {
+        tracing::error!(event = "peer_message_not_encoded", %error);
+    }
+}
+
+async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let stream = timeout(CONNECT, TcpStream::connect(address))
+        .await
+        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    sockets::prepare(&stream)?;
+    Ok(stream)
+}
--- /dev/null
+++ b/crates/mulberry-registry/src/registry.rs
@@ -0,0 +1,213 @@
+//! One instance: sockets, disk, and the loop that ends with a signal.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use mulberry_directory::{GatewayMessage, LinkMessage, read_frame, write_frame};
+use mulberry_telemetry::serve_metrics;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use crate::disk_thread::DiskThread;
+use crate::node::{Node, SharedNode};
+use crate::peer_message::PeerMessage;
+use crate::registry_metrics::RegistryMetrics;
+use crate::{PublicProtocol, RegistrySettings, public_server, sockets};
+
+/// Time between two looks at the clock.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time for leadership to be handed over before a planned stop ends.
+const HANDOVER: Duration = Duration::from_millis(700);
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// One instance.
+#[derive(Debug)]
+pub struct Registry {
+    settings: RegistrySettings,
+    protocol: Rc<dyn PublicProtocol>,
+}
+
+/// Why an instance could not start.
+#[derive(Debug)]
+pub enum RegistryError {
+    Listen { what: &'static str, address: SocketAddr, source: io::Error },
+    Start { what: &'static str, source: io::Error },
+}
+
+impl Registry {
+    pub fn new(settings: RegistrySettings, protocol: Rc<dyn PublicProtocol>) -> Registry {
+        Registry { settings, protocol }
+    }
+
+    /// Runs until `stop` resolves. `seeds` yields new seeds when the settings have changed.
+    ///
+    /// # Errors
+    /// A socket or thread could not be opened.
+    pub async fn run(
+        self,
+        stop: impl Future<Output = ()>,
+        mut seeds: tokio::sync::mpsc::UnboundedReceiver<Vec<SocketAddr>>,
+    ) -> Result<(), RegistryError> {
+        let settings = self.settings;
+        let public = listen("operators and targets", settings.public_address)?;
+        let link = listen("links", settings.link_address)?;
+        let metrics = RegistryMetrics::default();
+        let mut metrics_registry = prometheus_client::registry::Registry::default();
+        metrics.register(&mut metrics_registry);
+        let metrics_listener = match settings.metrics_address {
+            Some(address) => Some(listen("metrics", address)?),
+            None => None,
+        };
+        let (disk, mut disk_events) = DiskThread::start(settings.data_folder.clone())
+            .map_err(|source| RegistryError::Start { what: "disk thread", source })?;
+        tracing::info!(
+            event = "started",
+            instance = %settings.name,
+            public = %settings.public_address,
+            bootstrap = settings.bootstrap
+        );
+        let node: SharedNode = Rc::new(RefCell::new(Node::new(settings, metrics, disk)));
+
+        let tasks = LocalSet::new();
+        tasks
+            .run_until(async {
+                if let Some(listener) = metrics_listener {
+                    spawn_local(serve_metrics(listener, Arc::new(Mutex::new(metrics_registry))));
+                }
+                spawn_local(public_server::serve(public, node.clone(), self.protocol));
+                spawn_local(accept_links(link, node.clone()));
+                let mut ticks = interval(TICK);
+                ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+                tokio::pin!(stop);
+                loop {
+                    tokio::select! {
+                        () = &mut stop => break,
+                        Some(event) = disk_events.recv() => node.borrow_mut().disk_event(event),
+                        Some(seeds) = seeds.recv() => node.borrow_mut().set_seeds(seeds),
+                        _ = ticks.tick() => node.borrow_mut().tick(),
+                    }
+                }
+                tracing::info!(event = "stopping", was_leader = node.borrow().is_leader());
+                node.borrow_mut().begin_stop();
+                let handover = sleep(HANDOVER);
+                tokio::pin!(handover);
+                loop {
+                    tokio::select! {
+                        () = &mut handover => break,
+                        Some(event) = disk_events.recv() => node.borrow_mut().disk_event(event),
+                        _ = ticks.tick() => node.borrow_mut().tick(),
+                    }
+                }
+                tracing::info!(event = "stopped");
+            })
+            .await;
+        Ok(())
+    }
+}
+
+impl fmt::Display for RegistryError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RegistryError::Listen { what, address, source } => {
+                write!(f, "cannot listen on {address} for {what}: {source}; free the address")
+            }
+            RegistryError::Start { what, source } => {
+                write!(f, "cannot start the {what}: {source}; check the limits of the process")
+            }
+        }
+    }
+}
+
+impl std::error::Error for RegistryError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            RegistryError::Listen { source, .. } | RegistryError::Start { source, .. } => {
+                Some(source)
+            }
+        }
+    }
+}
+
+fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, RegistryError> {
+    sockets::listen(address)
+        .map_err(|source| RegistryError::Listen { what, address, source })
+}
+
+async fn accept_links(listener: TcpListener, node: SharedNode) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(serve_link(stream, node.clone()));
+            }
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves a connection of another registry or of a gateway, which says with its first message what it is.
+async fn serve_link(mut stream: TcpStream, node: SharedNode) {
+    if let Err(error) = sockets::prepare(&stream) {
+        tracing::warn!(event = "link_not_prepared", %error);
+        return;
+    }
+    let mut buffer = BytesMut::new();
+    loop {
+        match read_frame::<LinkMessage<PeerMessage>>(&mut stream, &mut buffer).await {
+            Ok(LinkMessage::Peer(message)) => node.borrow_mut().peer_message(message),
+            Ok(LinkMessage::Gateway(GatewayMessage::Hello { gateway, .. })) => {
+                return serve_gateway(stream, buffer, node, gateway).await;
+            }
+            Ok(LinkMessage::Gateway(GatewayMessage::WantConfig)) => {
+                tracing::warn!(event = "link_refused", reason = "a gateway must say hello first");
+                return;
+            }
+            Err(error) => {
+                tracing::debug!(event = "link_ended", %error);
+                return;
+            }
+        }
+    }
+}
+
+async fn serve_gateway(
+    stream: TcpStream,
+    mut buffer: BytesMut,
+    node: SharedNode,
+    gateway: mulberry_directory::GatewayInfo,
+) {
+    let name = gateway.name.clone();
+    let mut link = node.borrow_mut().add_gateway(gateway);
+    let (mut reader, mut writer) = stream.into_split();
+    let ended = loop {
+        tokio::select! {
+            message = read_frame::<LinkMessage<PeerMessage>>(&mut reader, &mut buffer) => match message {
+                Ok(LinkMessage::Gateway(message)) => {
+                    node.borrow_mut().gateway_message(link.id, message);
+                }
+                Ok(LinkMessage::Peer(_)) => break "a registry uses the link of a gateway".to_owned(),
+                Err(error) => break error.to_string(),
+            },
+            message = link.messages.recv() => {
+                let Some(message) = message else { break "replaced by a newer link".to_owned() };
+                if let Err(error) = write_frame(&mut writer, &message).await {
+                    break error.to_string();
+                }
+            }
+        }
+    };
+    node.borrow_mut().remove_gateway(link.id);
+    tracing::info!(event = "gateway_unlinked", gateway = %name, reason = ended);
+}
--- /dev/null
+++ b/crates/mulberry-registry/src/registry_metrics.rs
@@ -0,0 +1,72 @@
+//! Metrics of a registry.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Labels of a public call.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CallLabels {
+    pub call: &'static str,
+    pub status: u16,
+}
+
+/// Metrics of a registry.
+#[derive(Debug, Clone)]
+pub(crate) struct RegistryMetrics {
+    pub calls: Family<CallLabels, Counter>,
+    pub sync_seconds: Histogram,
+    pub disk_failures: Counter,
+    pub is_leader: Gauge,
+    pub voters: Gauge,
+    pub learners: Gauge,
+    pub config_version: Gauge,
+    pub targets: Gauge,
+    pub gateways: Gauge,
+}
+
+impl Default for RegistryMetrics {
+    fn default() -> RegistryMetrics {
+        RegistryMetrics {
+            calls: Family::default(),
+            sync_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
+            disk_failures: Counter::default(),
+            is_leader: Gauge::default(),
+            voters: Gauge::default(),
+            learners: Gauge::default(),
+            config_version: Gauge::default(),
+            targets: Gauge::default(),
+            gateways: Gauge::default(),
+        }
+    }
+}
+
+impl RegistryMetrics {
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        let r = registry;
+        r.register("mulberry_registry_calls", "Calls of operators and targets", self.calls.clone());
+        r.register(
+            "mulberry_registry_sync_seconds",
+            "Time of a write with its sync",
+            self.sync_seconds.clone(),
+        );
+        r.register(
+            "mulberry_registry_disk_failures",
+            "Failures of the data folder",
+            self.disk_failures.clone(),
+        );
+        r.register("mulberry_registry_is_leader", "1 on the leader", self.is_leader.clone());
+        r.register("mulberry_registry_voters", "Voters of the group", self.voters.clone());
+        r.register("mulberry_registry_learners", "Learners of the group", self.learners.clone());
+        r.register(
+            "mulberry_registry_config_version",
+            "Version of the configuration",
+            self.config_version.clone(),
+        );
+        r.register("mulberry_registry_targets", "Targets that have not left", self.targets.clone());
+        r.register("mulberry_registry_gateways", "Gateways linked", self.gateways.clone());
+    }
+}
--- /dev/null
+++ b/crates/mulberry-registry/src/settings.rs
@@ -0,0 +1,53 @@
+//! Settings of a registry.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Settings of a registry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RegistrySettings {
+    pub name: String,
+
+    /// Where operators and targets call.
+    pub public_address: SocketAddr,
+
+    /// Where registries and gateways connect. All registries use one port.
+    pub link_address: SocketAddr,
+
+    /// Address of `/metrics`.
+    pub metrics_address: Option<SocketAddr>,
+
+    /// Link addresses of some registries.
+    pub seeds: Vec<SocketAddr>,
+
+    /// Whether this is the first start of all registries, so that the seeds form a group.
+    pub bootstrap: bool,
+
+    pub data_folder: PathBuf,
+
+    /// Time between two announcements of a target.
+    pub announce_ms: u64,
+
+    /// Time from a signal to stop until the process is killed.
+    pub stop_ms: u64,
+
+    /// Longest body of a call.
+    pub max_body_bytes: usize,
+}
+
+impl Default for RegistrySettings {
+    fn default() -> RegistrySettings {
+        RegistrySettings {
+            name: String::new(),
+            public_address: ([127, 0, 0, 1], 7200).into(),
+            link_address: ([127, 0, 0, 1], 7201).into(),
+            metrics_address: None,
+            seeds: Vec::new(),
+            bootstrap: false,
+            data_folder: PathBuf::new(),
+            announce_ms: 1_000,
+            stop_ms: 8_000,
+            max_body_bytes: 8 << 20,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mulberry-routes/tests/routes.rs
@@ -0,0 +1,140 @@
+//! Checks and lookups of configurations.
+
+use mulberry_routes::{
+    Backend, ConfigError, Denied, EngineTerms, RequestLimits, Route, RouteKind, RouteTable,
+    RoutingConfig, Service, Tenant,
+};
+use proptest::prelude::*;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        path_prefix: prefix.into(),
+        kind: RouteKind::Safe,
+        time_limit_ms: 800,
+        aim_ms: 100,
+        max_pause_ms: 0,
+        priority: 1,
+        max_attempts: 2,
+        is_public: false,
+        backends: vec![Backend { service: "s".into(), weight: 1 }],
+    }
+}
+
+fn config() -> RoutingConfig {
+    RoutingConfig {
+        version: 7,
+        routes: vec![route("short", "h.example", "/a/"), route("long", "h.example", "/a/b/")],
+        services: vec![Service {
+            name: "s".into(),
+            health_path: "/health".into(),
+            max_connections: 10,
+            cold: None,
+            engine: None,
+        }],
+        tenants: vec![Tenant {
+            name: "t".into(),
+            api_keys: vec!["k".into(), "l".into()],
+            priority: None,
+        }],
+        limits: RequestLimits::default(),
+    }
+}
+
+#[test]
+fn the_longest_prefix_wins_and_prefixes_end_at_slashes() {
+    let table = RouteTable::new(config());
+    let name = |path| table.find("H.Example:80", path, Some("l")).map(|found| &*found.route.name);
+    assert_eq!(name("/a/b/c"), Ok("long"));
+    assert_eq!(name("/a/b"), Ok("short"));
+    assert_eq!(name("/a/"), Ok("short"));
+    assert_eq!(name("/a"), Err(Denied::NoRoute));
+    assert_eq!(name("/ab/b/"), Err(Denied::NoRoute));
+    assert_eq!(table.find("other", "/a/", Some("k")).err(), Some(Denied::NoRoute));
+}
+
+#[test]
+fn a_key_is_needed_unless_the_route_is_public_or_there_are_no_tenants() {
+    let mut config = config();
+    let table = RouteTable::new(config.clone());
+    assert_eq!(table.find("h.example", "/a/", None).err(), Some(Denied::UnknownKey));
+    assert_eq!(table.find("h.example", "/a/", Some("x")).err(), Some(Denied::UnknownKey));
+    let tenant = table.find("h.example", "/a/", Some("k")).expect("known key").tenant;
+    assert_eq!(tenant.map(|tenant| &*tenant.name), Some("t"));
+    config.routes[0].is_public = true;
+    assert!(RouteTable::new(config.clone()).find("h.example", "/a/", None).is_ok());
+    config.routes[0].is_public = false;
+    config.tenants.clear();
+    assert!(RouteTable::new(config).find("h.example", "/a/", None).is_ok());
+}
+
+#[test]
+fn invalid_configurations_are_named_with_their_remedy() {
+    let mut lines = Vec::new();
+    let mut check = |change: &dyn Fn(&mut RoutingConfig)| {
+        let mut config = config();
+        change(&mut config);
+        lines.push(config.check().expect_err("is invalid").to_string());
+    };
+    check(&|c| c.routes[0].backends[0].service = "gone".into());
+    check(&|c| c.routes[1].path_prefix = "/a/".into());
+    check(&|c| c.routes[0].backends[0].weight = 0);
+    check(&|c| c.routes[0].backends.clear());
+    check(&|c| c.routes[0].time_limit_ms = 0);
+    check(&|c| c.routes[0].path_prefix = "/a".into());
+    check(&|c| c.services.push(c.services[0].clone()));
+    check(&|c| {
+        c.tenants.push(Tenant {
+            name: "u".into(),
+            api_keys: vec!["k".into()],
+            priority: None,
+        });
+    });
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    route short names the service gone, which is not listed; add the service or change the route
+    routes long and short have the same host and path prefix; change one of them
+    the weights of route short add up to 0; give a service a weight
+    the weights of route short add up to 0; give a service a weight
+    the time limit of route short is 0; give it one of 1 ms or more
+    the path prefix of route short must begin and end with a slash
+    service s is listed twice; list it once
+    tenants t and u share a key; take it from one of them
+    ");
+    assert_eq!(config().check(), Ok(()));
+}
+
+#[test]
+fn a_key_listed_twice_by_one_tenant_is_no_conflict() {
+    let mut config = config();
+    config.tenants[0].api_keys.push("k".into());
+    assert_eq!(config.check(), Ok::<(), ConfigError>(()));
+}
+
+#[test]
+fn a_long_prompt_costs_more_than_its_share() {
+    let terms = EngineTerms {
+        read_tokens_per_ms: 177.0,
+        read_per_1m_pairs_ms: 0.184,
+        step_ms: 0.85,
+        step_per_request_ms: 0.00425,
+        step_per_1k_context_ms: 0.00285,
+        steps_per_pass: 51,
+        ..EngineTerms::default()
+    };
+    assert!((terms.read_ms(4_960) - 30.3).abs() < 0.1);
+    assert!((terms.read_ms(154_000) - 3_051.9).abs() < 1.0);
+    assert!((terms.pass_ms(10, 66_000) - 55.1).abs() < 0.1);
+}
+
+proptest! {
+    #[test]
+    fn encoded_configurations_decode_to_themselves(version: u64, weights in prop::collection::vec(any::<u32>(), 1..5)) {
+        let mut config = config();
+        config.version = version;
+        config.routes[0].backends =
+            weights.into_iter().map(|weight| Backend { service: "s".into(), weight }).collect();
+        let bytes = postcard::to_stdvec(&config).expect("encodes");
+        prop_assert_eq!(postcard::from_bytes::<RoutingConfig>(&bytes).expect("decodes"), config);
+    }
+}
--- /dev/null
+++ b/crates/mulberry-scheduler/src/job.rs
@@ -0,0 +1,92 @@
+//! Requests as the scheduler sees them.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// Identity of a request: the gateway that serves it, with its start, and a number of that gateway.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct JobId {
+    pub gateway: u64,
+    pub number: u64,
+}
+
+/// What a request asks for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Work {
+    pub service: Arc<str>,
+    pub prompt_tokens: u64,
+
+    /// Tokens of the answer at most.
+    pub answer_tokens: u64,
+
+    /// Rank; 0 is the most urgent.
+    pub priority: u32,
+
+    /// Time until the first event within which the answer is on time, from now on.
+    pub aim_left_ms: u64,
+
+    /// Longest pause between two events that is still on time; 0 if there is no bound.
+    pub max_pause_ms: u64,
+
+    /// Time until the client gives up.
+    pub time_left_ms: u64,
+
+    /// Zone of the gateway.
+    pub zone: Arc<str>,
+
+    /// Engines that must not get the request, because they failed it or the gateway cannot reach them.
+    pub excluded: Vec<Arc<str>>,
+}
+
+/// Where a request runs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    /// Engine that receives the request, writes the answer and holds the prompt.
+    pub engine: Arc<str>,
+
+    /// Engines that read parts of the prompt.
+    pub helpers: Vec<Arc<str>>,
+
+    /// Expected time until the first event.
+    pub first_event_ms: u64,
+}
+
+/// Answer to a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Decision {
+    Placed(Placement),
+
+    /// An answer in time is out of reach.
+    Refused { retry_after_ms: u64 },
+
+    /// No engine of the service can be used at all.
+    NoEngine,
+}
+
+/// A placed request, told to a scheduler that does not know it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ActiveJob {
+    pub number: u64,
+    pub work: Work,
+    pub engine: Arc<str>,
+    pub helpers: Vec<Arc<str>>,
+
+    /// Whether the first event has come.
+    pub is_writing: bool,
+}
+
+/// How a request ended at its engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// Answered, or left by its client.
+    Done,
+
+    /// The engine said that it did not run the request.
+    Rejected,
+
+    /// The engine failed, could not be reached or broke off.
+    Failed,
+}
--- /dev/null
+++ b/crates/mulberry-scheduler/src/lib.rs
@@ -0,0 +1,17 @@
+//! Which engines read and write which prompt.
+//!
+//! An engine works in passes: it reads prompts and, in the same pass, writes the next event of each request that is
+//! past its prompt. A long prompt that is read makes the pass long, which all writers of the engine feel as a pause.
+//! The scheduler therefore weighs, for each way to place a request, how late the request itself gets and how late it
+//! makes others, and takes the cheapest. Long prompts are read by several engines at once.
+
+mod cost;
+mod engine_state;
+mod job;
+mod scheduler;
+mod settings;
+
+pub use engine_state::EngineInfo;
+pub use job::{ActiveJob, Decision, JobId, Outcome, Placement, Work};
+pub use scheduler::Scheduler;
+pub use settings::SchedulerSettings;
--- a/crates/mulberry-platform/src/logging.rs
+++ b/crates/mulberry-telemetry/src/logging.rs
@@ -61,19 +61,24 @@
         mut writer: Writer<'_>,
         event: &Event<'_>,
     ) -> fmt::Result {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let level = event.metadata().level().as_str().to_ascii_lowercase();
-        let mut line = format!(
-            "time_s={}.{:03} level={level} instance={}",
-            since.as_secs(),
-            since.subsec_millis(),
-            self.instance
-        );
-        event.record(&mut KeyValues(&mut line));
-        writeln!(writer, "{line}")
+        writer.write_str(&format_line(&self.instance, event))
     }
 }
 
+/// One line for an event, with its end.
+pub(crate) fn format_line(instance: &str, event: &Event<'_>) -> String {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let level = event.metadata().level().as_str().to_ascii_lowercase();
+    let mut line = format!(
+        "time_s={}.{:03} level={level} instance={instance}",
+        since.as_secs(),
+        since.subsec_millis(),
+    );
+    event.record(&mut KeyValues(&mut line));
+    line.push('\n');
+    line
+}
+
 struct KeyValues<'a>(&'a mut String);
 
 impl KeyValues<'_> {
--- a/crates/mulberry-platform/src/platform_server.rs
+++ b/crates/mulberry-telemetry/src/platform_server.rs
@@ -11,7 +11,7 @@
 use crate::Health;
 
 /// Media type of the metrics text.
-const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+pub(crate) const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 /// Registry that is read by `/metrics`; metrics are registered at start.
 pub type SharedRegistry = Arc<Mutex<Registry>>;
--- a/crates/mulberry-platform/tests/logging.rs
+++ b/crates/mulberry-telemetry/tests/logging.rs
@@ -5,7 +5,7 @@
 use std::fs::OpenOptions;
 use std::process::{Command, Stdio};
 
-use mulberry_platform::{check_log_level, error_line, init_logging};
+use mulberry_telemetry::{check_log_level, error_line, init_logging};
 
 /// Started once more by the test below, in a process whose standard error is a full device.
 #[test]
