--- a/crates/mulberry-gateway/src/dialect.rs
+++ b/crates/mulberry-gateway/src/dialect.rs
@@ -70,7 +70,7 @@
 pub struct TargetCall {
     pub method: &'static str,
     pub path: String,
-    pub media_type: &'static str,
+    pub headers: Vec<(&'static str, String)>,
     pub body: Vec<u8>,
 }
 
@@ -87,8 +87,8 @@
     fn is_ready_call(&self, method: &str, path: &str) -> bool;
 
     /// Lends memory of an engine under a ticket for a time.
-    fn reserve(&self, ticket: &str, tokens: u64, hold_ms: u64) -> TargetCall;
+    fn reserve(&self, target_id: &str, ticket: &str, tokens: u64, hold_ms: u64) -> TargetCall;
 
     /// Gives the memory of a ticket back.
-    fn release(&self, ticket: &str) -> TargetCall;
+    fn release(&self, target_id: &str, ticket: &str) -> TargetCall;
 }
--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 
 use crate::attempt::{Answer, Attempt, SendError};
 use crate::dialect::{CallerFields, ForwardFields};
+use crate::loans::{Lender, Loan};
 use crate::metrics::{AttemptLabels, LengthLabels, RequestLabels, prompt_class};
 use crate::placement::{PlacedJob, Placer};
 use crate::shared::Shared;
@@ -39,6 +40,9 @@
 /// Times the longest pause that is on time.
 const GAP_PAUSES: u32 = 3;
 
+/// Placements that may fail because an engine does not lend its memory.
+const MAX_LOAN_REFUSALS: usize = 2;
+
 /// Idle time of a kept connection for requests that must not run twice: a target may close an older one just then.
 const FRESH: Duration = Duration::ZERO;
 
@@ -114,6 +118,7 @@
     first_bytes: Vec<u8>,
     target_id: Arc<str>,
     job: Option<PlacedJob>,
+    loan: Option<Loan>,
     running: RunningGuard,
 }
 
@@ -128,6 +133,8 @@
     target_id: Arc<str>,
     address: SocketAddr,
     job: Option<PlacedJob>,
+    helpers: Vec<(SocketAddr, Option<String>)>,
+    loan: Option<Loan>,
     patience: Instant,
 }
 
@@ -389,6 +396,7 @@
             first_bytes,
             target_id: chosen.target_id,
             job: chosen.job,
+            loan: chosen.loan,
             running,
         };
         Ok(Some(Obtained::Stream(Box::new(live))))
@@ -450,10 +458,10 @@
         let gap = MIN_GAP.max(Duration::from_millis(self.route.max_pause_ms) * GAP_PAUSES);
         loop {
             let ended = self.relay_one(client, &mut live, &mut relay, &mut head, gap).await;
-            let LiveStream { answer, target_id, job, running, .. } = live;
+            let LiveStream { answer, target_id, job, loan, running, .. } = live;
             match ended {
                 Ended::Complete => {
-                    drop(running);
+                    drop((loan, running));
                     answer.keep(&self.shared, &target_id);
                     let now_ms = self.shared.now_ms();
                     self.shared.health.borrow_mut().succeeded(now_ms, &target_id);
@@ -471,18 +479,18 @@
                     return if is_sent && keeps_alive { Next::KeepAlive } else { Next::Close };
                 }
                 Ended::ClientLeft => {
-                    drop((answer, job, running));
+                    drop((answer, job, loan, running));
                     self.end("left", 200);
                     return Next::Close;
                 }
                 Ended::OutOfTime => {
-                    drop((answer, job, running));
+                    drop((answer, job, loan, running));
                     "out of time within the stream".clone_into(&mut self.reason);
                     self.end("cut", 200);
                     return Next::Close;
                 }
                 Ended::Broken(reason) => {
-                    drop((answer, running));
+                    drop((answer, loan, running));
                     relay.drop_partial();
                     self.failed(&SendError::Unknown(reason), &target_id, job);
                 }
@@ -611,10 +619,46 @@
         } else {
             self.deadline
         };
-        Ok(Chosen { target_id, address, job: None, patience })
+        Ok(Chosen {
+            target_id,
+            address,
+            job: None,
+            helpers: Vec::new(),
+            loan: None,
+            patience,
+        })
     }
 
     async fn choose_engine(&mut self) -> Result<Chosen, GivenUp> {
+        for _ in 0..=MAX_LOAN_REFUSALS {
+            let job = self.place().await?;
+            let lenders = job.helpers();
+            let is_lent = |lender: &&Lender| lender.tokens > 0;
+            let loan = if lenders.iter().any(|lender| is_lent(&lender)) {
+                let lending = lenders.iter().filter(is_lent).cloned().collect();
+                match Loan::take(&self.shared, job.ticket(), lending).await {
+                    Ok(loan) => Some(loan),
+                    Err(refuser) => {
+                        self.excluded.push(refuser);
+                        job.finish(Outcome::Rejected);
+                        continue;
+                    }
+                }
+            } else {
+                None
+            };
+            let ticket = loan.as_ref().map(|loan| loan.ticket().to_owned());
+            let helpers = lenders
+                .into_iter()
+                .map(|lender| (lender.address, ticket.clone().filter(|_| lender.tokens > 0)))
+                .collect();
+            return self.chosen_engine(job, helpers, loan);
+        }
+        "engines did not lend their memory".clone_into(&mut self.reason);
+        Err(self.refusal(FULL_RETRY_MS))
+    }
+
+    async fn place(&mut self) -> Result<PlacedJob, GivenUp> {
         let now = Instant::now();
         let waited = now - self.arrived;
         let left_ms = |until: Duration| until.saturating_sub(waited).as_millis() as u64;
@@ -629,17 +673,26 @@
             zone: self.shared.settings.zone.clone(),
             excluded: self.excluded.clone(),
         };
-        let job = match Placer::place(&self.shared, work).await {
-            Ok(job) => job,
-            Err(Decision::Refused { retry_after_ms }) => {
+        Placer::place(&self.shared, work).await.map_err(|decision| match decision {
+            Decision::Refused { retry_after_ms } => {
                 "an answer in time is out of reach".clone_into(&mut self.reason);
-                return Err(self.refusal(retry_after_ms));
+                self.refusal(retry_after_ms)
             }
-            Err(_) => {
+            Decision::Placed(_) | Decision::NoEngine => {
                 "no engine of the service can be used".clone_into(&mut self.reason);
-                return Err(self.refusal(NO_TARGET_RETRY_MS));
+                self.refusal(NO_TARGET_RETRY_MS)
             }
-        };
+        })
+    }
+
+    fn chosen_engine(
+        &mut self,
+        job: PlacedJob,
+        helpers: Vec<(SocketAddr, Option<String>)>,
+        loan: Option<Loan>,
+    ) -> Result<Chosen, GivenUp> {
+        let now = Instant::now();
+        let waited = now - self.arrived;
         self.helpers = job.placement.helpers.len();
         self.forecast_ms = waited.as_millis() as u64 + job.placement.first_event_ms;
         let target_id = job.engine().clone();
@@ -654,7 +707,7 @@
         } else {
             self.deadline
         };
-        Ok(Chosen { target_id, address, job: Some(job), patience })
+        Ok(Chosen { target_id, address, job: Some(job), helpers, loan, patience })
     }
 
     /// The target of a plain service that is least loaded, as far as this gateway knows.
@@ -691,16 +744,12 @@
             head.headers.push("Content-Length", self.body.len().to_string().as_bytes());
         }
         let left = self.deadline.saturating_duration_since(Instant::now());
-        let helpers: Vec<(SocketAddr, Option<String>)> = match &chosen.job {
-            Some(job) => job.helpers().into_iter().map(|address| (address, None)).collect(),
-            None => Vec::new(),
-        };
         let fields = ForwardFields {
             deadline_ms: Some(left.as_millis() as u64),
             target_id: &chosen.target_id,
             tenant: self.tenant.as_deref(),
             priority: chosen.job.as_ref().map(|_| engine_priority(self.fields.prompt_tokens)),
-            helpers: &helpers,
+            helpers: &chosen.helpers,
             last_event: relay.last_event(),
         };
         self.shared.dialect.forward(&mut head.headers, &fields);
--- a/crates/mulberry-gateway/src/lib.rs
+++ b/crates/mulberry-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod fleet_view;
 mod gateway;
+mod loans;
 mod metrics;
 mod placement;
 mod ready_server;
--- a/crates/mulberry-gateway/src/placement.rs
+++ b/crates/mulberry-gateway/src/placement.rs
@@ -21,6 +21,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::loans::Lender;
 use crate::metrics::PlacementLabels;
 use crate::shared::Shared;
 use crate::{FleetView, GatewaySettings, TargetHealth};
@@ -158,13 +159,16 @@
             None => (placer.decide_as_home(shared, job, &work), "self"),
         };
         let decision = match decision {
-            Decision::Placed(placement)
-                if !shared.fleet.borrow().is_usable(&placement.engine) =>
-            {
-                // The home has not heard yet that the engine leaves.
-                let mut work = work.clone();
-                work.excluded.push(placement.engine);
-                placer.decide_alone(shared, job, &work)
+            Decision::Placed(placement) => {
+                let leaving = leaving_engines(&shared.fleet.borrow(), &placement);
+                if leaving.is_empty() {
+                    Decision::Placed(placement)
+                } else {
+                    // The home has not heard of it yet.
+                    let mut work = work.clone();
+                    work.excluded.extend(leaving);
+                    placer.decide_alone(shared, job, &work)
+                }
             }
             Decision::NoEngine if decided_by == "home" => placer.decide_alone(shared, job, &work),
             decision => decision,
@@ -360,23 +364,38 @@
     }
 }
 
+/// Engines of a placement that must not get it any more.
+fn leaving_engines(fleet: &FleetView, placement: &Placement) -> Vec<Arc<str>> {
+    let helpers = placement.helpers.iter().map(|helper| &helper.engine);
+    helpers.chain([&placement.engine]).filter(|id| !fleet.is_usable(id)).cloned().collect()
+}
+
 impl PlacedJob {
     /// The first event has come.
     pub(crate) fn first_event(&self) {
         self.shared.placer.first_event(&self.shared, self.number);
     }
 
-    /// Whether the home for this request is this gateway or another one is of no concern to callers.
+    /// The request has ended at its engine.
     pub(crate) fn finish(mut self, outcome: Outcome) {
         self.is_ended = true;
         self.shared.placer.finish(&self.shared, self.number, outcome);
     }
 
-    /// Engines that help, with their addresses as far as they may still be used.
-    pub(crate) fn helpers(&self) -> Vec<SocketAddr> {
+    /// Engines that help, with their addresses and the memory that they lend.
+    pub(crate) fn helpers(&self) -> Vec<Lender> {
         let fleet = self.shared.fleet.borrow();
-        let usable = self.placement.helpers.iter().filter(|id| fleet.is_usable(id));
-        usable.filter_map(|id| fleet.get(id)).map(|record| record.address).collect()
+        let helpers = self.placement.helpers.iter();
+        let located = helpers.filter_map(|helper| {
+            let address = fleet.get(&helper.engine)?.address;
+            Some(Lender { id: helper.engine.clone(), address, tokens: helper.lent_tokens })
+        });
+        located.collect()
+    }
+
+    /// Name under which engines lend memory to this request.
+    pub(crate) fn ticket(&self) -> String {
+        format!("{:x}-{}", self.shared.incarnation, self.number)
     }
 
     pub(crate) fn engine(&self) -> &Arc<str> {
--- a/crates/mulberry-scheduler/src/engine_state.rs
+++ b/crates/mulberry-scheduler/src/engine_state.rs
@@ -1,15 +1,16 @@
 //! What the scheduler knows of one engine.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
 use mulberry_routes::{ColdLimit, EngineTerms};
 
 use crate::cost::{LATE_LOSS, lateness, value};
+use crate::scheduler::Job;
 use crate::{JobId, SchedulerSettings, Work};
 
-/// Least time that a part counts as unread, until the first event says that it was read.
-const MIN_READ_LEFT_MS: f64 = 5.0;
+/// Reading that a part is counted with once it should be done, until the first event says that it is.
+const OVERDUE_MS: f64 = 5.0;
 
 /// An engine that may be used.
 #[derive(Debug, Clone, PartialEq)]
@@ -28,12 +29,15 @@
     pub zone: Arc<str>,
     pub cold_until_ms: u64,
 
-    /// Parts that it reads, first come first.
+    /// Parts that it reads. Those of helpers go before all that are there already, others after them.
     reads: Vec<ReadPart>,
 
     /// Requests whose prompt and answer it holds, whether it still reads or writes.
     holds: BTreeMap<JobId, Held>,
 
+    /// Memory lent to requests that other engines hold.
+    lent: BTreeMap<JobId, u64>,
+
     /// Times of the requests sent to it lately.
     starts: VecDeque<u64>,
 
@@ -41,10 +45,13 @@
     failures: u32,
 }
 
+/// A part of a prompt that an engine reads.
 #[derive(Debug)]
 struct ReadPart {
     job: JobId,
     read_ms: f64,
+
+    /// When it should have been read.
     ends_ms: f64,
 }
 
@@ -64,14 +71,17 @@
             cold_until_ms: now_ms + info.cold_left_ms,
             reads: Vec::new(),
             holds: BTreeMap::new(),
+            lent: BTreeMap::new(),
             starts: VecDeque::new(),
             suspended_until_ms: 0,
             failures: 0,
         }
     }
 
-    pub(crate) fn held_tokens(&self) -> u64 {
-        self.holds.values().map(|held| held.tokens).sum()
+    /// Tokens of memory that are given out.
+    pub(crate) fn used_tokens(&self) -> u64 {
+        let held: u64 = self.holds.values().map(|held| held.tokens).sum();
+        held + self.lent.values().sum::<u64>()
     }
 
     pub(crate) fn held_requests(&self) -> usize {
@@ -83,10 +93,6 @@
         self.holds.values().filter(|held| held.max_pause_ms <= max_pause_ms).count()
     }
 
-    pub(crate) fn reading_parts(&self) -> usize {
-        self.reads.len()
-    }
-
     pub(crate) fn is_suspended(&self, now_ms: u64) -> bool {
         now_ms < self.suspended_until_ms
     }
@@ -120,23 +126,36 @@
     /// Reading that is left, in milliseconds.
     pub(crate) fn backlog_ms(&self, now_ms: u64) -> f64 {
         let now_ms = now_ms as f64;
-        self.reads
-            .iter()
-            .map(|part| (part.ends_ms - now_ms).clamp(MIN_READ_LEFT_MS, part.read_ms.max(MIN_READ_LEFT_MS)))
-            .sum()
+        let left = |part: &ReadPart| (part.ends_ms - now_ms).min(part.read_ms).max(OVERDUE_MS);
+        self.reads.iter().map(left).sum()
     }
 
     /// Time until a part of `part_ms` that is added now has been read.
-    pub(crate) fn read_end_ms(&self, now_ms: u64, part_ms: f64, pass_ms: f64) -> f64 {
-        // Half of the running pass must end first, and the part is read within a pass of its own.
-        self.backlog_ms(now_ms) + part_ms + pass_ms * 1.5
-    }
-
-    /// What a further part of `part_ms` costs those who are served here already.
-    pub(crate) fn harm(&self, now_ms: u64, part_ms: f64, pass_ms: f64) -> f64 {
+    pub(crate) fn read_end_ms(
+        &self,
+        now_ms: u64,
+        part_ms: f64,
+        pass_ms: f64,
+        is_helper: bool,
+    ) -> f64 {
+        let ahead_ms = if is_helper { 0.0 } else { self.backlog_ms(now_ms) };
+        // The running pass must end first, and the part is read within a pass of its own.
+        ahead_ms + part_ms + pass_ms * 1.5
+    }
+
+    /// What a further part of `part_ms` costs those who are served here already. `displaced` holds all jobs when the
+    /// part is one of a helper, which goes before the others.
+    pub(crate) fn harm(
+        &self,
+        now_ms: u64,
+        part_ms: f64,
+        pass_ms: f64,
+        displaced: Option<&HashMap<JobId, Job>>,
+    ) -> f64 {
         let pause_before = pass_ms + self.backlog_ms(now_ms);
         let pause_after = pause_before + part_ms;
-        self.holds
+        let of_writers: f64 = self
+            .holds
             .values()
             .filter(|held| held.max_pause_ms > 0)
             .map(|held| {
@@ -144,18 +163,51 @@
                 let more = lateness(pause_after, bound) - lateness(pause_before, bound);
                 more * value(held.prompt_tokens) * LATE_LOSS
             })
-            .sum()
+            .sum();
+        let Some(jobs) = displaced else { return of_writers };
+        let of_readers: f64 = self
+            .reads
+            .iter()
+            .filter_map(|part| Some((part.ends_ms + part_ms, jobs.get(&part.job)?)))
+            .map(|(ends_ms, job)| job.loss_by(now_ms, ends_ms))
+            .sum();
+        of_writers + of_readers
     }
 
-    pub(crate) fn add_read(&mut self, job: JobId, now_ms: u64, part_ms: f64, ends_in_ms: f64) {
+    /// Adds a part that takes `read_ms`. Returns when it will have been read, and the same of the parts that it
+    /// displaces.
+    pub(crate) fn add_part(
+        &mut self,
+        job: JobId,
+        now_ms: u64,
+        read_ms: f64,
+        terms: &EngineTerms,
+        is_helper: bool,
+    ) -> (f64, Vec<(JobId, f64)>) {
+        let ends_in_ms = self.read_end_ms(now_ms, read_ms, self.pass_ms(terms), is_helper);
         let ends_ms = now_ms as f64 + ends_in_ms;
-        self.reads.push(ReadPart { job, read_ms: part_ms, ends_ms });
+        let mut displaced = Vec::new();
+        if is_helper {
+            for part in &mut self.reads {
+                part.ends_ms = part.ends_ms.max(now_ms as f64) + read_ms;
+                displaced.push((part.job, part.ends_ms));
+            }
+        }
+        self.reads.push(ReadPart { job, read_ms, ends_ms });
+        (ends_ms, displaced)
     }
 
-    pub(crate) fn hold(&mut self, job: JobId, now_ms: u64, work: &Work, is_writing: bool) {
+    pub(crate) fn hold(
+        &mut self,
+        job: JobId,
+        now_ms: u64,
+        work: &Work,
+        tokens: u64,
+        is_writing: bool,
+    ) {
         self.starts.push_back(now_ms);
         let held = Held {
-            tokens: work.prompt_tokens + work.answer_tokens,
+            tokens,
             prompt_tokens: work.prompt_tokens,
             max_pause_ms: work.max_pause_ms,
             is_writing,
@@ -163,6 +215,10 @@
         self.holds.insert(job, held);
     }
 
+    pub(crate) fn lend(&mut self, job: JobId, tokens: u64) {
+        self.lent.insert(job, tokens);
+    }
+
     pub(crate) fn first_event(&mut self, job: JobId) {
         self.reads.retain(|part| part.job != job);
         if let Some(held) = self.holds.get_mut(&job) {
@@ -173,6 +229,7 @@
     pub(crate) fn forget(&mut self, job: JobId) {
         self.reads.retain(|part| part.job != job);
         self.holds.remove(&job);
+        self.lent.remove(&job);
     }
 
     pub(crate) fn succeeded(&mut self) {
--- a/crates/mulberry-scheduler/src/job.rs
+++ b/crates/mulberry-scheduler/src/job.rs
@@ -48,12 +48,21 @@
     pub engine: Arc<str>,
 
     /// Engines that read parts of the prompt.
-    pub helpers: Vec<Arc<str>>,
+    pub helpers: Vec<Helper>,
 
     /// Expected time until the first event.
     pub first_event_ms: u64,
 }
 
+/// An engine that reads a part of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Helper {
+    pub engine: Arc<str>,
+
+    /// Memory that it lends to the prompt, in tokens; 0 for none.
+    pub lent_tokens: u64,
+}
+
 /// Answer to a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Decision {
@@ -72,7 +81,7 @@
     pub number: u64,
     pub work: Work,
     pub engine: Arc<str>,
-    pub helpers: Vec<Arc<str>>,
+    pub helpers: Vec<Helper>,
 
     /// Whether the first event has come.
     pub is_writing: bool,
--- a/crates/mulberry-scheduler/src/scheduler.rs
+++ b/crates/mulberry-scheduler/src/scheduler.rs
@@ -7,7 +7,9 @@
 
 use crate::cost::{LATE_LOSS, lateness, value};
 use crate::engine_state::EngineState;
-use crate::{ActiveJob, Decision, EngineInfo, JobId, Outcome, Placement, SchedulerSettings, Work};
+use crate::{
+    ActiveJob, Decision, EngineInfo, Helper, JobId, Outcome, Placement, SchedulerSettings, Work,
+};
 
 /// Numbers of engines that are compared for reading a prompt.
 const TEAM_SIZES: [usize; 11] = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17];
@@ -22,6 +24,24 @@
 /// prompts; for each request there already, it falls.
 const OPENING_COST: f64 = 0.5;
 
+/// Cost of a wait that is as long as the aim, as a part of the request's value, on time or not.
+const WAIT_COST: f64 = 0.1;
+
+/// Cost of a prompt that lies at other engines as a whole; lending takes orders to each of them.
+const BORROWING_COST: f64 = 1.0;
+
+/// Tokens of a prompt that its holder has room for at least.
+const MIN_HELD_TOKENS: u64 = 4_096;
+
+/// Unit in which memory is lent.
+const LENT_BLOCK_TOKENS: u64 = 64;
+
+/// Part of the reading at an engine that still goes on when a request placed now begins to write there.
+const READ_ON: f64 = 0.5;
+
+/// Time from the end of a prompt's reading to its first event, roughly.
+const FIRST_PASS_MS: f64 = 60.0;
+
 /// Requests with tight pauses on one engine up to which they are kept together.
 const PACKED_REQUESTS: f64 = 10.0;
 
@@ -41,11 +61,20 @@
     engines: BTreeMap<Arc<str>, EngineState>,
 }
 
+/// A placed request.
 #[derive(Debug)]
-struct Job {
+pub(crate) struct Job {
     service: Arc<str>,
     engine: Arc<str>,
-    helpers: Vec<Arc<str>>,
+    helpers: Vec<Helper>,
+
+    /// When the last part of its prompt should have been read.
+    read_end_ms: f64,
+
+    /// Until when its first event is on time.
+    aim_at_ms: f64,
+
+    worth: f64,
 }
 
 /// An engine as a candidate for one request.
@@ -54,8 +83,11 @@
     id: Arc<str>,
     pass_ms: f64,
 
-    /// Whether it may hold the prompt and write the answer.
-    may_hold: bool,
+    /// Whether it may write the answer.
+    may_write: bool,
+
+    /// Memory that is left.
+    free_tokens: u64,
 
     /// Cost of holding the request there beside all others.
     hold_cost: f64,
@@ -65,7 +97,7 @@
 #[derive(Debug)]
 struct Plan {
     first: Arc<str>,
-    helpers: Vec<Arc<str>>,
+    helpers: Vec<Helper>,
     first_event_ms: f64,
     cost: f64,
 }
@@ -138,7 +170,7 @@
     pub fn first_event(&mut self, job: JobId) {
         let Some(entry) = self.jobs.get(&job) else { return };
         let Some(pool) = self.pools.get_mut(&entry.service) else { return };
-        for id in entry.helpers.iter().chain([&entry.engine]) {
+        for id in entry.engines() {
             if let Some(engine) = pool.engines.get_mut(id) {
                 engine.first_event(job);
             }
@@ -215,22 +247,42 @@
         let Some(pool) = self.pools.get_mut(&work.service) else { return };
         let team = 1 + placement.helpers.len();
         let part_ms = pool.terms.read_ms(work.prompt_tokens) / team as f64;
-        if !is_writing {
-            for id in placement.helpers.iter().chain([&placement.engine]) {
-                if let Some(engine) = pool.engines.get_mut(id) {
-                    let pass_ms = engine.pass_ms(&pool.terms);
-                    let end_ms = engine.read_end_ms(now_ms, part_ms, pass_ms);
-                    engine.add_read(job, now_ms, part_ms, end_ms);
-                }
+        let mut lent_tokens = 0;
+        let mut read_end_ms = now_ms as f64;
+        let mut displaced = Vec::new();
+        let mut read = |engine: &mut EngineState, is_helper| {
+            if is_writing {
+                return;
+            }
+            let (ends_ms, moved) = engine.add_part(job, now_ms, part_ms, &pool.terms, is_helper);
+            read_end_ms = read_end_ms.max(ends_ms);
+            displaced.extend(moved);
+        };
+        for helper in &placement.helpers {
+            lent_tokens += helper.lent_tokens;
+            let Some(engine) = pool.engines.get_mut(&helper.engine) else { continue };
+            read(engine, true);
+            if helper.lent_tokens > 0 {
+                engine.lend(job, helper.lent_tokens);
             }
         }
         if let Some(engine) = pool.engines.get_mut(&placement.engine) {
-            engine.hold(job, now_ms, work, is_writing);
+            read(engine, false);
+            let tokens = (work.prompt_tokens + work.answer_tokens).saturating_sub(lent_tokens);
+            engine.hold(job, now_ms, work, tokens, is_writing);
+        }
+        for (other, ends_ms) in displaced {
+            if let Some(other) = self.jobs.get_mut(&other) {
+                other.read_end_ms = other.read_end_ms.max(ends_ms);
+            }
         }
         let entry = Job {
             service: work.service.clone(),
             engine: placement.engine.clone(),
             helpers: placement.helpers.clone(),
+            read_end_ms,
+            aim_at_ms: (now_ms + work.aim_left_ms) as f64,
+            worth: value(work.prompt_tokens),
         };
         self.jobs.insert(job, entry);
     }
@@ -238,7 +290,7 @@
     fn forget(&mut self, job: JobId) {
         let Some(entry) = self.jobs.remove(&job) else { return };
         let Some(pool) = self.pools.get_mut(&entry.service) else { return };
-        for id in entry.helpers.iter().chain([&entry.engine]) {
+        for id in entry.engines() {
             if let Some(engine) = pool.engines.get_mut(id) {
                 engine.forget(job);
             }
@@ -258,7 +310,9 @@
             if size > candidates.len() || size > settings.max_helpers + 1 {
                 break;
             }
-            let Some(plan) = pool.plan(now_ms, work, &candidates, size) else { continue };
+            let Some(plan) = pool.plan(now_ms, work, &candidates, size, &self.jobs) else {
+                continue;
+            };
             if best.as_ref().is_none_or(|best| plan.cost < best.cost) {
                 best = Some(plan);
             }
@@ -283,6 +337,24 @@
     }
 }
 
+impl Job {
+    /// What the request loses when its prompt is read at `ends_ms` instead of when it should be.
+    pub(crate) fn loss_by(&self, now_ms: u64, ends_ms: f64) -> f64 {
+        if ends_ms <= self.read_end_ms {
+            return 0.0;
+        }
+        let now_ms = now_ms as f64;
+        let bound_ms = self.aim_at_ms - now_ms;
+        let late = |at_ms: f64| lateness((at_ms - now_ms).max(0.0) + FIRST_PASS_MS, bound_ms);
+        (late(ends_ms) - late(self.read_end_ms)) * self.worth * LATE_LOSS
+    }
+
+    /// All engines that it uses.
+    fn engines(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.helpers.iter().map(|helper| &helper.engine).chain([&self.engine])
+    }
+}
+
 impl Pool {
     fn candidates(
         &mut self,
@@ -293,18 +365,13 @@
         let terms = &self.terms;
         let cold = self.cold;
         let max_requests = (f64::from(terms.slots) * settings.slot_share).max(1.0);
-        let max_tokens = terms.memory_tokens as f64 * settings.memory_share;
-        let tokens = (work.prompt_tokens + work.answer_tokens) as f64;
+        let max_tokens = (terms.memory_tokens as f64 * settings.memory_share) as u64;
         let mut candidates = Vec::with_capacity(self.engines.len());
         for engine in self.engines.values_mut() {
             if engine.is_suspended(now_ms) || work.excluded.contains(&engine.id) {
                 continue;
             }
-            let is_free = (engine.held_requests() as f64) < max_requests
-                && (engine.held_tokens() == 0 || engine.held_tokens() as f64 + tokens <= max_tokens)
-                && tokens <= terms.memory_tokens as f64;
             let is_cold_full = engine.is_cold_full(now_ms, cold, settings);
-            let pass_ms = engine.pass_ms(terms);
             let kin = engine.held_with_pause(work.max_pause_ms) as f64;
             let opening = OPENING_COST * (1.0 - (kin / PACKED_REQUESTS).min(1.0));
             let crowd = (engine.held_requests() as f64 / max_requests).powi(3) * OPENING_COST;
@@ -315,8 +382,9 @@
             };
             candidates.push(Candidate {
                 id: engine.id.clone(),
-                pass_ms,
-                may_hold: is_free && !is_cold_full,
+                pass_ms: engine.pass_ms(terms),
+                may_write: (engine.held_requests() as f64) < max_requests && !is_cold_full,
+                free_tokens: max_tokens.saturating_sub(engine.used_tokens()),
                 hold_cost: opening + crowd + distance,
             });
         }
@@ -330,57 +398,67 @@
         work: &Work,
         candidates: &[Candidate],
         size: usize,
+        jobs: &HashMap<JobId, Job>,
     ) -> Option<Plan> {
         let part_ms = self.terms.read_ms(work.prompt_tokens) / size as f64;
         let worth = value(work.prompt_tokens);
         let aim_ms = work.aim_left_ms as f64;
-        // Per engine: when it has read its part, and what the part costs those who are there.
-        let mut scored: Vec<(f64, f64, &Candidate)> = candidates
+        let own_loss = |end_ms: f64| {
+            worth * LATE_LOSS * lateness(end_ms, aim_ms)
+                + worth * WAIT_COST * (end_ms / aim_ms.max(1.0)).min(3.0)
+        };
+        // When each engine has read its part, and what that costs those who are there.
+        let score = |candidate: &Candidate, is_helper: bool| {
+            let engine = &self.engines[&candidate.id];
+            let end_ms = engine.read_end_ms(now_ms, part_ms, candidate.pass_ms, is_helper);
+            let displaced = is_helper.then_some(jobs);
+            (end_ms, engine.harm(now_ms, part_ms, candidate.pass_ms, displaced))
+        };
+        let tokens = work.prompt_tokens + work.answer_tokens;
+        let holder = candidates
             .iter()
+            .filter(|candidate| candidate.may_write)
+            .filter(|candidate| {
+                candidate.free_tokens >= tokens
+                    || (size > 1 && tokens as f64 > self.terms.memory_tokens as f64 * 0.9 && candidate.free_tokens >= work.answer_tokens + MIN_HELD_TOKENS)
+            })
             .map(|candidate| {
-                let engine = &self.engines[&candidate.id];
-                let end_ms = engine.read_end_ms(now_ms, part_ms, candidate.pass_ms);
-                let harm = engine.harm(now_ms, part_ms, candidate.pass_ms);
-                (end_ms, harm, candidate)
+                let (end_ms, harm) = score(candidate, false);
+                let borrowing = tokens.saturating_sub(candidate.free_tokens) as f64 / tokens as f64;
+                let cost = own_loss(end_ms + candidate.pass_ms)
+                    + harm
+                    + candidate.hold_cost
+                    + borrowing * BORROWING_COST
+                    + self.pause_loss(now_ms, work, candidate);
+                (cost, end_ms, candidate)
             })
-            .collect();
-        let own_loss = |end_ms: f64| worth * LATE_LOSS * lateness(end_ms, aim_ms)
-            + worth * 0.1 * (end_ms / aim_ms.max(1.0)).min(3.0);
-        scored.sort_by(|a, b| {
-            (own_loss(a.0) + a.1).total_cmp(&(own_loss(b.0) + b.1))
-        });
-        let first = scored
+            .min_by(|a, b| a.0.total_cmp(&b.0));
+        let (holder_cost, holder_end_ms, holder) = holder?;
+        let mut helpers: Vec<(f64, f64, f64, &Candidate)> = candidates
             .iter()
-            .enumerate()
-            .filter(|(_, (_, _, candidate))| candidate.may_hold)
-            .min_by(|(_, a), (_, b)| {
-                let cost = |(end_ms, harm, candidate): &(f64, f64, &Candidate)| {
-                    own_loss(*end_ms + candidate.pass_ms)
-                        + harm
-                        + candidate.hold_cost
-                        + self.pause_loss(now_ms, work, candidate)
-                };
-                cost(a).total_cmp(&cost(b))
+            .filter(|candidate| candidate.id != holder.id)
+            .map(|candidate| {
+                let (end_ms, harm) = score(candidate, true);
+                (own_loss(end_ms) + harm, end_ms, harm, candidate)
             })
-            .map(|(index, _)| index)?;
-        let (first_end_ms, first_harm, holder) = scored.remove(first);
-        let pause_loss = self.pause_loss(now_ms, work, holder);
-        let helpers = &scored[..size - 1];
-        let read_end_ms = helpers.iter().map(|helper| helper.0).fold(first_end_ms, f64::max);
-        let harm: f64 = first_harm + helpers.iter().map(|helper| helper.1).sum::<f64>();
+            .collect();
+        helpers.sort_by(|a, b| a.0.total_cmp(&b.0));
+        helpers.truncate(size - 1);
+        let lent = lend(tokens, holder, &helpers)?;
+        let read_end_ms = helpers.iter().map(|helper| helper.1).fold(holder_end_ms, f64::max);
+        let harm: f64 = helpers.iter().map(|helper| helper.2).sum();
         // The first event holds the tokens of one whole pass.
-        let first_event_ms = read_end_ms + self.terms.pass_ms(1, work.prompt_tokens).max(holder.pass_ms);
-        let cost = own_loss(first_event_ms)
+        let first_event_ms =
+            read_end_ms + self.terms.pass_ms(1, work.prompt_tokens).max(holder.pass_ms);
+        let cost = own_loss(first_event_ms) - own_loss(holder_end_ms + holder.pass_ms)
+            + holder_cost
             + harm
-            + holder.hold_cost
-            + pause_loss
             + HELPER_COST * helpers.len() as f64;
-        Some(Plan {
-            first: holder.id.clone(),
-            helpers: helpers.iter().map(|helper| helper.2.id.clone()).collect(),
-            first_event_ms,
-            cost,
-        })
+        let helpers = helpers.iter().zip(lent).map(|(helper, lent_tokens)| Helper {
+            engine: helper.3.id.clone(),
+            lent_tokens,
+        });
+        Some(Plan { first: holder.id.clone(), helpers: helpers.collect(), first_event_ms, cost })
     }
 
     /// What the reading that goes on at an engine costs a request that writes there.
@@ -388,10 +466,32 @@
         if work.max_pause_ms == 0 {
             return 0.0;
         }
-        let engine = &self.engines[&candidate.id];
-        let others = engine.reading_parts() as f64;
-        let backlog_ms = engine.backlog_ms(now_ms);
-        let pause_ms = candidate.pass_ms + backlog_ms * (others / (others + 1.0));
+        let pause_ms = candidate.pass_ms + self.engines[&candidate.id].backlog_ms(now_ms) * READ_ON;
         value(work.prompt_tokens) * LATE_LOSS * lateness(pause_ms, work.max_pause_ms as f64)
     }
 }
+
+/// Memory that each helper lends to a prompt that does not fit its holder; `None` when all of it is not enough.
+fn lend(
+    tokens: u64,
+    holder: &Candidate,
+    helpers: &[(f64, f64, f64, &Candidate)],
+) -> Option<Vec<u64>> {
+    if tokens <= holder.free_tokens {
+        return Some(vec![0; helpers.len()]);
+    }
+    let lacking = tokens - holder.free_tokens;
+    let free: Vec<u64> = helpers.iter().map(|helper| helper.3.free_tokens).collect();
+    let total: u64 = free.iter().sum();
+    if total < lacking {
+        return None;
+    }
+    // Each lends in proportion to what it has, rounded up to whole blocks.
+    let share = lacking as f64 / total as f64;
+    let lent = |free: u64| {
+        let tokens = (free as f64 * share).ceil() as u64;
+        tokens.next_multiple_of(LENT_BLOCK_TOKENS).min(free)
+    };
+    let lent: Vec<u64> = free.into_iter().map(lent).collect();
+    (lent.iter().sum::<u64>() >= lacking).then_some(lent)
+}
