--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -31,14 +31,18 @@
 /// Times the aim of a plain request that a target may take before another one is tried.
 const PATIENCE_AIMS: f64 = 3.0;
 
-/// Wait for the first event beyond twice what was forecast, before another engine is tried.
-const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Shortest pause in a stream, also before its first event, after which a caller leaves.
+const CALLER_PATIENCE: Duration = Duration::from_millis(2_000);
 
-/// Least pause in a stream after which its engine counts as lost.
-const MIN_GAP: Duration = Duration::from_millis(1_200);
+/// Times the aim that a caller waits for an event.
+const CALLER_PATIENCE_AIMS: u32 = 4;
 
-/// Times the longest pause that is on time.
-const GAP_PAUSES: u32 = 3;
+/// Times the longest pause that is on time that a caller waits for an event.
+const CALLER_PATIENCE_PAUSES: u32 = 8;
+
+/// Part of a caller's patience after which another engine is tried. Earlier, the work of an engine that is only slow
+/// would be thrown away; an engine that is gone shows by its connection.
+const ENGINE_PATIENCE: f64 = 0.75;
 
 /// Placements that may fail because an engine does not lend its memory.
 const MAX_LOAN_REFUSALS: usize = 2;
@@ -455,7 +459,7 @@
     ) -> Next {
         let mut head = Some(stream_head(&live.answer.head, keeps_alive));
         let mut live = live;
-        let gap = MIN_GAP.max(Duration::from_millis(self.route.max_pause_ms) * GAP_PAUSES);
+        let gap = self.engine_patience();
         loop {
             let ended = self.relay_one(client, &mut live, &mut relay, &mut head, gap).await;
             let LiveStream { answer, target_id, job, loan, running, .. } = live;
@@ -701,9 +705,8 @@
             "the chosen engine is not known".clone_into(&mut self.reason);
             return Err(self.refusal(NO_TARGET_RETRY_MS));
         };
-        let forecast = Duration::from_millis(job.placement.first_event_ms) * 2;
         let patience = if self.has_further_attempt() && self.route.kind.is_idempotent() {
-            (now + forecast + FIRST_EVENT_PATIENCE).min(self.deadline)
+            (now + self.engine_patience()).min(self.deadline)
         } else {
             self.deadline
         };
@@ -802,6 +805,16 @@
         );
     }
 
+    /// Pause in a stream after which its engine counts as lost.
+    fn engine_patience(&self) -> Duration {
+        let aim = Duration::from_millis(self.route.aim_ms);
+        let pause = Duration::from_millis(self.route.max_pause_ms);
+        let patience = CALLER_PATIENCE
+            .max(aim * CALLER_PATIENCE_AIMS)
+            .max(pause * CALLER_PATIENCE_PAUSES);
+        patience.mul_f64(ENGINE_PATIENCE)
+    }
+
     fn has_further_attempt(&self) -> bool {
         self.sends + 1 < self.route.max_attempts
     }
--- a/crates/mulberry-scheduler/src/scheduler.rs
+++ b/crates/mulberry-scheduler/src/scheduler.rs
@@ -5,7 +5,7 @@
 
 use mulberry_routes::{ColdLimit, EngineTerms};
 
-use crate::cost::{LATE_LOSS, lateness, value};
+use crate::cost::{Bounds, LATE_LOSS, lateness, value};
 use crate::engine_state::EngineState;
 use crate::{
     ActiveJob, Decision, EngineInfo, Helper, JobId, Outcome, Placement, SchedulerSettings, Work,
@@ -71,8 +71,10 @@
     /// When the last part of its prompt should have been read.
     read_end_ms: f64,
 
-    /// Until when its first event is on time.
-    aim_at_ms: f64,
+    placed_ms: f64,
+
+    /// Bounds of its first event when it was placed.
+    bounds: Bounds,
 
     worth: f64,
 }
@@ -281,7 +283,8 @@
             engine: placement.engine.clone(),
             helpers: placement.helpers.clone(),
             read_end_ms,
-            aim_at_ms: (now_ms + work.aim_left_ms) as f64,
+            placed_ms: now_ms as f64,
+            bounds: bounds(work),
             worth: value(work.prompt_tokens),
         };
         self.jobs.insert(job, entry);
@@ -344,9 +347,9 @@
             return 0.0;
         }
         let now_ms = now_ms as f64;
-        let bound_ms = self.aim_at_ms - now_ms;
-        let late = |at_ms: f64| lateness((at_ms - now_ms).max(0.0) + FIRST_PASS_MS, bound_ms);
-        (late(ends_ms) - late(self.read_end_ms)) * self.worth * LATE_LOSS
+        let bounds = self.bounds.after(now_ms - self.placed_ms);
+        let loss = |at_ms: f64| bounds.loss((at_ms - now_ms).max(0.0) + FIRST_PASS_MS);
+        (loss(ends_ms) - loss(self.read_end_ms)) * self.worth
     }
 
     /// All engines that it uses.
@@ -402,9 +405,10 @@
     ) -> Option<Plan> {
         let part_ms = self.terms.read_ms(work.prompt_tokens) / size as f64;
         let worth = value(work.prompt_tokens);
-        let aim_ms = work.aim_left_ms as f64;
+        let bounds = bounds(work);
+        let aim_ms = bounds.aim_ms;
         let own_loss = |end_ms: f64| {
-            worth * LATE_LOSS * lateness(end_ms, aim_ms)
+            worth * bounds.loss(end_ms)
                 + worth * WAIT_COST * (end_ms / aim_ms.max(1.0)).min(3.0)
         };
         // When each engine has read its part, and what that costs those who are there.
@@ -471,6 +475,10 @@
     }
 }
 
+fn bounds(work: &Work) -> Bounds {
+    Bounds::new(work.aim_left_ms, work.max_pause_ms, work.time_left_ms)
+}
+
 /// Memory that each helper lends to a prompt that does not fit its holder; `None` when all of it is not enough.
 fn lend(
     tokens: u64,
