Refuse what costs others more than it is worth, and charge reading by how busy the engines are

Cause: with lending, prompts over 315,000 tokens were read by two engines for 8 s each, which stopped all that wrote there; harm to requests that are late already cost nothing, so that more was put on them. Pauses now also cost what is lost when callers leave, reading has a price that grows with the part of engines that read, and a request whose placement costs more than a refusal is refused with the time to come back.

--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -44,6 +44,9 @@
 /// would be thrown away; an engine that is gone shows by its connection.
 const ENGINE_PATIENCE: f64 = 0.75;
 
+/// Times the forecast of the first event that an engine gets at least.
+const FORECAST_SLACK: f64 = 1.5;
+
 /// Placements that may fail because an engine does not lend its memory.
 const MAX_LOAN_REFUSALS: usize = 2;
 
@@ -706,7 +709,8 @@
             return Err(self.refusal(NO_TARGET_RETRY_MS));
         };
         let patience = if self.has_further_attempt() && self.route.kind.is_idempotent() {
-            (now + self.engine_patience()).min(self.deadline)
+            let forecast = Duration::from_millis(job.placement.first_event_ms);
+            (now + self.engine_patience().max(forecast.mul_f64(FORECAST_SLACK))).min(self.deadline)
         } else {
             self.deadline
         };
--- a/crates/mulberry-scheduler/src/cost.rs
+++ b/crates/mulberry-scheduler/src/cost.rs
@@ -10,7 +10,7 @@
 const MAX_VALUE: f64 = 60.0;
 
 /// Part of the value that is lost when an answer is late.
-pub(crate) const LATE_LOSS: f64 = 0.75;
+const LATE_LOSS: f64 = 0.75;
 
 /// Point, as a part of the bound, at which an answer is as likely late as not: forecasts are too short rather than too
 /// long.
@@ -53,6 +53,12 @@
 const GIVE_UP_PAUSES: u64 = 8;
 
 impl Bounds {
+    /// Bounds of a pause within a stream.
+    pub(crate) fn of_pause(max_pause_ms: u64) -> Bounds {
+        let patience = GIVE_UP_MS.max(GIVE_UP_PAUSES * max_pause_ms);
+        Bounds { aim_ms: max_pause_ms as f64, give_up_ms: patience as f64 }
+    }
+
     pub(crate) fn new(aim_left_ms: u64, max_pause_ms: u64, time_left_ms: u64) -> Bounds {
         let patience = GIVE_UP_MS.max(GIVE_UP_AIMS * aim_left_ms).max(GIVE_UP_PAUSES * max_pause_ms);
         Bounds { aim_ms: aim_left_ms as f64, give_up_ms: patience.min(time_left_ms) as f64 }
--- a/crates/mulberry-scheduler/src/engine_state.rs
+++ b/crates/mulberry-scheduler/src/engine_state.rs
@@ -5,7 +5,7 @@
 
 use mulberry_routes::{ColdLimit, EngineTerms};
 
-use crate::cost::{LATE_LOSS, lateness, value};
+use crate::cost::{Bounds, value};
 use crate::scheduler::Job;
 use crate::{JobId, SchedulerSettings, Work};
 
@@ -159,9 +159,9 @@
             .values()
             .filter(|held| held.max_pause_ms > 0)
             .map(|held| {
-                let bound = held.max_pause_ms as f64;
-                let more = lateness(pause_after, bound) - lateness(pause_before, bound);
-                more * value(held.prompt_tokens) * LATE_LOSS
+                let bounds = Bounds::of_pause(held.max_pause_ms);
+                let more = bounds.loss(pause_after) - bounds.loss(pause_before);
+                more * value(held.prompt_tokens)
             })
             .sum();
         let Some(jobs) = displaced else { return of_writers };
--- a/crates/mulberry-scheduler/src/scheduler.rs
+++ b/crates/mulberry-scheduler/src/scheduler.rs
@@ -5,7 +5,7 @@
 
 use mulberry_routes::{ColdLimit, EngineTerms};
 
-use crate::cost::{Bounds, LATE_LOSS, lateness, value};
+use crate::cost::{Bounds, value};
 use crate::engine_state::EngineState;
 use crate::{
     ActiveJob, Decision, EngineInfo, Helper, JobId, Outcome, Placement, SchedulerSettings, Work,
@@ -27,6 +27,18 @@
 /// Cost of a wait that is as long as the aim, as a part of the request's value, on time or not.
 const WAIT_COST: f64 = 0.1;
 
+/// Cost of a refusal, as a part of the request's value: more than the whole, since the caller must come again.
+const REFUSAL_COST: f64 = 1.3;
+
+/// Cost of a millisecond of reading while all engines read: what other prompts that wait for it are worth.
+const READ_MS_COST: f64 = 0.005;
+
+/// Backlog from which on an engine counts as wholly busy.
+const BUSY_BACKLOG_MS: f64 = 400.0;
+
+/// Time over which the part of busy engines is averaged.
+const SHARE_MEMORY_MS: f64 = 1_000.0;
+
 /// Cost of a prompt that lies at other engines as a whole; lending takes orders to each of them.
 const BORROWING_COST: f64 = 1.0;
 
@@ -59,6 +71,10 @@
     terms: EngineTerms,
     cold: Option<ColdLimit>,
     engines: BTreeMap<Arc<str>, EngineState>,
+
+    /// Part of the engines that have been reading lately, from 0 to 1, and when it was last brought up to date.
+    reading_share: f64,
+    share_at_ms: u64,
 }
 
 /// A placed request.
@@ -122,6 +138,8 @@
             terms: terms.clone(),
             cold,
             engines: BTreeMap::new(),
+            reading_share: 0.0,
+            share_at_ms: now_ms,
         });
         pool.terms = terms.clone();
         pool.cold = cold;
@@ -156,8 +174,10 @@
         let Some(plan) = self.best_plan(now_ms, work) else {
             return self.refusal(now_ms, work);
         };
-        if plan.first_event_ms > work.time_left_ms as f64 {
-            return Decision::Refused { retry_after_ms: self.retry_after_ms(plan.first_event_ms, work) };
+        let refusal_cost = value(work.prompt_tokens) * REFUSAL_COST;
+        if plan.first_event_ms > work.time_left_ms as f64 || plan.cost > refusal_cost {
+            let retry_after_ms = self.retry_after_ms(plan.first_event_ms, work);
+            return Decision::Refused { retry_after_ms };
         }
         let placement = Placement {
             engine: plan.first,
@@ -304,6 +324,7 @@
         let settings = self.settings.clone();
         let pool = self.pools.get_mut(&work.service)?;
         let candidates = pool.candidates(now_ms, work, &settings);
+        pool.update_reading_share(now_ms);
         let alone_ms = pool.terms.read_ms(work.prompt_tokens);
         let mut best: Option<Plan> = None;
         for size in TEAM_SIZES {
@@ -457,7 +478,8 @@
         let cost = own_loss(first_event_ms) - own_loss(holder_end_ms + holder.pass_ms)
             + holder_cost
             + harm
-            + HELPER_COST * helpers.len() as f64;
+            + HELPER_COST * helpers.len() as f64
+            + self.terms.read_ms(work.prompt_tokens) * READ_MS_COST * self.reading_share.powi(2);
         let helpers = helpers.iter().zip(lent).map(|(helper, lent_tokens)| Helper {
             engine: helper.3.id.clone(),
             lent_tokens,
@@ -465,13 +487,30 @@
         Some(Plan { first: holder.id.clone(), helpers: helpers.collect(), first_event_ms, cost })
     }
 
+    /// Brings the part of the engines that are reading up to date.
+    fn update_reading_share(&mut self, now_ms: u64) {
+        if self.engines.is_empty() {
+            return;
+        }
+        let busy: f64 = self
+            .engines
+            .values()
+            .map(|engine| (engine.backlog_ms(now_ms) / BUSY_BACKLOG_MS).min(1.0))
+            .sum();
+        let share = busy / self.engines.len() as f64;
+        let passed_ms = now_ms.saturating_sub(self.share_at_ms) as f64;
+        self.share_at_ms = now_ms;
+        let weight = 1.0 - (-passed_ms / SHARE_MEMORY_MS).exp();
+        self.reading_share += (share - self.reading_share) * weight;
+    }
+
     /// What the reading that goes on at an engine costs a request that writes there.
     fn pause_loss(&self, now_ms: u64, work: &Work, candidate: &Candidate) -> f64 {
         if work.max_pause_ms == 0 {
             return 0.0;
         }
         let pause_ms = candidate.pass_ms + self.engines[&candidate.id].backlog_ms(now_ms) * READ_ON;
-        value(work.prompt_tokens) * LATE_LOSS * lateness(pause_ms, work.max_pause_ms as f64)
+        value(work.prompt_tokens) * Bounds::of_pause(work.max_pause_ms).loss(pause_ms)
     }
 }
 
