--- a/crates/mulberry-gateway/src/placement.rs
+++ b/crates/mulberry-gateway/src/placement.rs
@@ -45,11 +45,14 @@
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
 /// Part of the limit for cold engines that the home uses.
-const HOME_COLD_SHARE: f64 = 0.8;
+const HOME_START_SHARE: f64 = 0.8;
 
 /// Part that all gateways together use when they decide by themselves.
 const SOLITARY_COLD_SHARE: f64 = 0.5;
 
+/// The same for engines that are not known to be cold.
+const SOLITARY_WARM_SHARE: f64 = 1.2;
+
 /// Between gateways.
 #[derive(Debug, Serialize, Deserialize)]
 enum HomeMessage {
@@ -238,14 +241,15 @@
 
     fn decide_as_home(&self, shared: &Shared, job: JobId, work: &Work) -> Decision {
         let mut scheduler = self.scheduler.borrow_mut();
-        scheduler.set_cold_share(HOME_COLD_SHARE);
+        scheduler.set_start_shares(HOME_START_SHARE, HOME_START_SHARE);
         scheduler.place(shared.now_ms(), job, work)
     }
 
     fn decide_alone(&self, shared: &Shared, job: JobId, work: &Work) -> Decision {
         let gateways = shared.fleet.borrow().sharing_gateways();
         let mut scheduler = self.scheduler.borrow_mut();
-        scheduler.set_cold_share(SOLITARY_COLD_SHARE / gateways as f64);
+        let share = 1.0 / gateways as f64;
+        scheduler.set_start_shares(SOLITARY_COLD_SHARE * share, SOLITARY_WARM_SHARE * share);
         scheduler.place(shared.now_ms(), job, work)
     }
 
--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -14,6 +14,7 @@
 use mulberry_directory::{
     GatewayInfo, GatewayMessage, Observed, RegistryMessage, TargetRecord, TargetState, TargetTable,
 };
+use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
 use crate::disk_thread::{DiskEvent, DiskJob, DiskThread};
@@ -28,7 +29,7 @@
 const HEARTBEAT_MS: u64 = 100;
 
 /// Shortest and longest time without a leader before an election.
-const ELECTION_MS: (u64, u64) = (450, 800);
+const ELECTION_MS: (u64, u64) = (400, 700);
 
 /// Commands after which a snapshot is written.
 const SNAPSHOT_COMMANDS: u64 = 48;
@@ -55,7 +56,7 @@
 /// Time without an announcement after which a target is forgotten.
 const FORGET_TARGET_MS: u64 = 60_000;
 
-/// Time for which changes of targets are gathered before they are noted on the disk.
+/// Time for which changes are gathered before they are noted on the disk.
 const NOTE_MS: u64 = 250;
 
 /// Time between two looks at the members of the group.
@@ -92,7 +93,10 @@
     /// Targets heard from since the last gossip.
     heard: BTreeSet<Arc<str>>,
 
-    /// When the targets are to be noted on the disk, after a change.
+    /// State that was noted before this start.
+    noted: Option<OperatorState>,
+
+    /// When the notes on the disk are to be renewed, after a change.
     note_due_ms: Option<u64>,
 
     told_silent: Vec<Arc<str>>,
@@ -110,6 +114,13 @@
     is_stopping: bool,
 }
 
+/// What a registry notes on its disk, besides the log.
+#[derive(Debug, Serialize, Deserialize)]
+struct Notes {
+    targets: Vec<TargetRecord>,
+    operator: OperatorState,
+}
+
 /// The replica of the log.
 #[derive(Debug)]
 struct Replica {
@@ -169,6 +180,7 @@
             told_gateways: Vec::new(),
             targets: TargetTable::default(),
             heard: BTreeSet::new(),
+            noted: None,
             note_due_ms: None,
             told_silent: Vec::new(),
             told_registries: Vec::new(),
@@ -220,7 +232,7 @@
         match event {
             DiskEvent::Opened { member, durable, notes } => {
                 self.open(member, durable);
-                self.recall_targets(&notes);
+                self.recall(&notes);
             }
             DiskEvent::Written { writes, took_s } => {
                 self.metrics.sync_seconds.observe(took_s);
@@ -307,17 +319,24 @@
         self.index_calls.retain(|_, sender| !sender.is_closed());
     }
 
-    /// Takes in the targets that were noted before this start, until they announce themselves again. They count only
-    /// if nothing newer is known, and a gateway finds out whether they are still there.
-    fn recall_targets(&mut self, notes: &[u8]) {
+    /// Takes in what was noted before this start, until something newer is known: the targets, and the configuration
+    /// that was in force. Gateways that have started again go on with it while the group elects a leader.
+    fn recall(&mut self, notes: &[u8]) {
         if notes.is_empty() {
             return;
         }
         let now_ms = self.now_ms();
-        match postcard::from_bytes::<Vec<TargetRecord>>(notes) {
-            Ok(records) => {
-                tracing::info!(event = "targets_recalled", count = records.len());
-                let changed: Vec<TargetRecord> = records
+        match postcard::from_bytes::<Notes>(notes) {
+            Ok(notes) => {
+                tracing::info!(
+                    event = "notes_recalled",
+                    targets = notes.targets.len(),
+                    version = notes.operator.version()
+                );
+                self.noted = Some(notes.operator);
+                self.publish();
+                let changed: Vec<TargetRecord> = notes
+                    .targets
                     .into_iter()
                     .filter(|record| {
                         self.targets.observe(now_ms, record.clone()) == Observed::Changed
@@ -325,21 +344,46 @@
                     .collect();
                 self.gateways.send_all(&RegistryMessage::Targets(changed));
             }
-            // Torn by a loss of power, or of another version: targets announce themselves within seconds.
+            // Torn by a loss of power, or of another version: all of it will be told again.
             Err(error) => tracing::warn!(event = "notes_unreadable", %error),
         }
     }
 
-    /// Notes the targets on the disk.
-    fn note_targets(&mut self) {
-        let records: Vec<TargetRecord> =
-            self.targets.iter().map(|(record, _)| record.clone()).collect();
-        match postcard::to_stdvec(&records) {
+    /// Notes on the disk what is useful after a restart.
+    fn note(&mut self, now_ms: u64) {
+        let Some(operator) = self.known_state().cloned() else { return };
+        let silent_ms = self.silent_after_ms();
+        let targets = self
+            .targets
+            .iter()
+            .filter(|(_, heard_ms)| heard_ms + silent_ms >= now_ms)
+            .map(|(record, _)| record.clone())
+            .collect();
+        // What is read back comes from the log.
+        let operator = OperatorState { document: Arc::default(), ..operator };
+        match postcard::to_stdvec(&Notes { targets, operator }) {
             Ok(notes) => self.disk.ask(DiskJob::Note(notes)),
             Err(error) => tracing::error!(event = "notes_not_encoded", %error),
         }
     }
 
+    /// The newest state that was certainly accepted: as applied here, or as noted before the start.
+    fn known_state(&self) -> Option<&OperatorState> {
+        let applied = self.state();
+        let noted = self.noted.as_ref();
+        match (applied, noted) {
+            (Some(applied), Some(noted)) if noted.applied_index > applied.applied_index => {
+                Some(noted)
+            }
+            (applied, noted) => applied.or(noted),
+        }
+    }
+
+    /// Time without an announcement after which a target counts as silent.
+    fn silent_after_ms(&self) -> u64 {
+        SILENT_ANNOUNCEMENTS * self.settings.announce_ms + GOSSIP_MS
+    }
+
     pub(crate) fn announce(&mut self, record: TargetRecord) -> Observed {
         let now_ms = self.now_ms();
         self.heard.insert(record.id.clone());
@@ -430,7 +474,7 @@
         );
         let added = self.gateways.add(info);
         let id = added.id;
-        let (version, index, zones) = match self.state() {
+        let (version, index, zones) = match self.known_state() {
             Some(state) => (
                 state.version(),
                 state.evacuated_index,
@@ -460,7 +504,7 @@
                 self.tell_gateways();
             }
             GatewayMessage::WantConfig => {
-                let config = self.state().and_then(|state| state.config.clone());
+                let config = self.known_state().and_then(|state| state.config.clone());
                 if let Some(config) = config {
                     self.gateways.send(link, RegistryMessage::Config(config));
                 }
@@ -484,7 +528,7 @@
         self.advance();
         if self.note_due_ms.is_some_and(|due_ms| due_ms <= now_ms) {
             self.note_due_ms = None;
-            self.note_targets();
+            self.note(now_ms);
         }
         if now_ms >= self.hello_due_ms {
             self.send_hellos(now_ms);
@@ -710,22 +754,27 @@
 
     /// Tells the gateways what has been accepted since the last time.
     fn publish(&mut self) {
-        let Some(replica) = &self.replica else { return };
-        let state = &replica.state;
-        let raft = &replica.raft;
-        self.metrics.is_leader.set(i64::from(raft.role() == Role::Leader));
-        self.metrics.voters.set(raft.members().voters.len() as i64);
-        self.metrics.learners.set(raft.members().learners.len() as i64);
+        if let Some(replica) = &self.replica {
+            let raft = &replica.raft;
+            self.metrics.is_leader.set(i64::from(raft.role() == Role::Leader));
+            self.metrics.voters.set(raft.members().voters.len() as i64);
+            self.metrics.learners.set(raft.members().learners.len() as i64);
+        }
+        let Some(state) = self.known_state() else { return };
+        let index = state.applied_index;
+        let zones: Vec<Arc<str>> = state.evacuated.iter().cloned().collect();
         let now = (state.version(), state.evacuated_index);
+        if now > self.told {
+            self.note_due_ms.get_or_insert(self.now_ms() + NOTE_MS);
+        }
         if now.0 > self.told.0 {
             self.told.0 = now.0;
             self.metrics.config_version.set(i64::try_from(now.0).unwrap_or(i64::MAX));
-            tracing::info!(event = "config_in_force", version = now.0, index = state.applied_index);
+            tracing::info!(event = "config_in_force", version = now.0, index);
             self.gateways.send_all(&RegistryMessage::Version(now.0));
         }
         if now.1 > self.told.1 {
             self.told.1 = now.1;
-            let zones: Vec<Arc<str>> = state.evacuated.iter().cloned().collect();
             tracing::info!(event = "zones_evacuated", zones = ?zones, index = now.1);
             let message = RegistryMessage::Evacuated { index: now.1, zones };
             self.gateways.send_all(&message);
@@ -776,7 +825,7 @@
             tracing::info!(event = "targets_expired", count = expired.len());
             self.gateways.send_all(&RegistryMessage::Targets(expired));
         }
-        let limit_ms = SILENT_ANNOUNCEMENTS * self.settings.announce_ms + GOSSIP_MS;
+        let limit_ms = self.silent_after_ms();
         let silent: Vec<Arc<str>> = self
             .targets
             .iter()
@@ -786,6 +835,7 @@
             .collect();
         if silent != self.told_silent {
             tracing::info!(event = "targets_silent", targets = ?silent);
+            self.note_due_ms.get_or_insert(now_ms + NOTE_MS);
             self.told_silent.clone_from(&silent);
             self.gateways.send_all(&RegistryMessage::Silent(silent));
         }
--- a/crates/mulberry-scheduler/src/engine_state.rs
+++ b/crates/mulberry-scheduler/src/engine_state.rs
@@ -101,18 +101,19 @@
         self.suspended_until_ms.saturating_sub(now_ms)
     }
 
-    /// Whether a cold engine has got as many requests lately as it bears.
+    /// Whether an engine has got as many requests lately as it bears when it is cold.
     pub(crate) fn is_cold_full(
         &mut self,
         now_ms: u64,
         cold: Option<ColdLimit>,
+        share: f64,
         settings: &SchedulerSettings,
     ) -> bool {
         while self.starts.front().is_some_and(|&at| at + settings.start_window_ms <= now_ms) {
             self.starts.pop_front();
         }
         let Some(cold) = cold else { return false };
-        self.starts.len() as f64 >= (cold.requests_per_s * settings.cold_share).max(1.0)
+        self.starts.len() as f64 >= (cold.requests_per_s * share).max(1.0)
     }
 
     /// Length of a pass without reading, 0 when nobody writes.
--- a/crates/mulberry-scheduler/src/scheduler.rs
+++ b/crates/mulberry-scheduler/src/scheduler.rs
@@ -118,6 +118,9 @@
     helpers: Vec<Helper>,
     first_event_ms: f64,
     cost: f64,
+
+    /// The part of the cost that only keeps requests of a kind together, and is no reason to refuse one.
+    order_cost: f64,
 }
 
 impl Scheduler {
@@ -175,7 +178,7 @@
             return self.refusal(now_ms, work);
         };
         let refusal_cost = value(work.prompt_tokens) * REFUSAL_COST;
-        if plan.first_event_ms > work.time_left_ms as f64 || plan.cost > refusal_cost {
+        if plan.first_event_ms > work.time_left_ms as f64 || plan.cost - plan.order_cost > refusal_cost {
             let retry_after_ms = self.retry_after_ms(plan.first_event_ms, work);
             return Decision::Refused { retry_after_ms };
         }
@@ -246,9 +249,11 @@
         self.add(now_ms, job, &told.work, &placement, told.is_writing);
     }
 
-    /// Sets the part of the limit for cold engines that this scheduler may use.
-    pub fn set_cold_share(&mut self, cold_share: f64) {
+    /// Sets the parts of the limit for cold engines that this scheduler may use for engines that are cold, and for
+    /// others: an engine may turn cold before it says so.
+    pub fn set_start_shares(&mut self, cold_share: f64, warm_share: f64) {
         self.settings.cold_share = cold_share;
+        self.settings.warm_share = warm_share;
     }
 
     /// Drops the jobs of gateways that are gone.
@@ -395,7 +400,12 @@
             if engine.is_suspended(now_ms) || work.excluded.contains(&engine.id) {
                 continue;
             }
-            let is_cold_full = engine.is_cold_full(now_ms, cold, settings);
+            let share = if engine.cold_until_ms > now_ms {
+                settings.cold_share
+            } else {
+                settings.warm_share
+            };
+            let is_cold_full = engine.is_cold_full(now_ms, cold, share, settings);
             let kin = engine.held_with_pause(work.max_pause_ms) as f64;
             let opening = OPENING_COST * (1.0 - (kin / PACKED_REQUESTS).min(1.0));
             let crowd = (engine.held_requests() as f64 / max_requests).powi(3) * OPENING_COST;
@@ -484,7 +494,13 @@
             engine: helper.3.id.clone(),
             lent_tokens,
         });
-        Some(Plan { first: holder.id.clone(), helpers: helpers.collect(), first_event_ms, cost })
+        Some(Plan {
+            first: holder.id.clone(),
+            helpers: helpers.collect(),
+            first_event_ms,
+            cost,
+            order_cost: holder.hold_cost,
+        })
     }
 
     /// Brings the part of the engines that are reading up to date.
--- a/crates/mulberry-scheduler/src/settings.rs
+++ b/crates/mulberry-scheduler/src/settings.rs
@@ -21,6 +21,9 @@
     /// published limit.
     pub cold_share: f64,
 
+    /// The same for an engine that is not known to be cold.
+    pub warm_share: f64,
+
     /// Window of the limit for cold engines, in milliseconds.
     pub start_window_ms: u64,
 
@@ -45,6 +48,7 @@
             slot_share: 0.9,
             memory_share: 0.95,
             cold_share: 0.8,
+            warm_share: 0.8,
             start_window_ms: 1_000,
             first_suspension_ms: 250,
             max_suspension_ms: 4_000,
