--- a/crates/mulberry-control/src/replica.rs
+++ b/crates/mulberry-control/src/replica.rs
@@ -20,8 +20,8 @@
 };
 use mulberry_log::{DataFolder, LogError};
 use mulberry_peers::Responder;
-use mulberry_telemetry::Health;
 use mulberry_state::{Command, FleetState, StateLimits};
+use mulberry_telemetry::Health;
 use mulberry_types::{
     ChangeOutcome, ControlPortReply, ControlPortRequest, ControlReply, ReplicaHello,
 };
--- a/crates/mulberry-entry/src/entry.rs
+++ b/crates/mulberry-entry/src/entry.rs
@@ -4,10 +4,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use mulberry_peers::{PeerClientSettings, PeerSecret};
-use mulberry_telemetry::Health;
 use mulberry_policy::{GrantEffect, HomeLedger, Placement, PlacementPolicy, RetryBudget};
 use mulberry_services::ServiceClient;
 use mulberry_targets::{EngineClient, EngineClientSettings};
+use mulberry_telemetry::Health;
 use mulberry_types::{
     Announcement, ConfigurationUpdate, Grant, HomeReply, HomeRequest, Incarnation, Member,
     Membership, NodeId, RefuseReason, Refused, RequestId, Reserve,
--- a/crates/mulberry-gateway/src/attempt.rs
+++ b/crates/mulberry-gateway/src/attempt.rs
@@ -97,7 +97,8 @@
             if is_foreign {
                 // A second answer to an earlier request of the connection.
                 is_clean = false;
-                let skipped = connection.read_whole_body(BodyDecoder::new(framing), MAX_ANSWER_BYTES);
+                let skipped =
+                    connection.read_whole_body(BodyDecoder::new(framing), MAX_ANSWER_BYTES);
                 skipped.await.map_err(|error| unknown(&error))?;
                 continue;
             }
--- a/crates/mulberry-gateway/src/caller_server.rs
+++ b/crates/mulberry-gateway/src/caller_server.rs
@@ -38,10 +38,9 @@
             Ok((stream, _)) if shared.connections.get() < shared.settings.max_connections => {
                 tokio::task::spawn_local(serve_connection(stream, shared.clone()));
             }
-            Ok(_) => tracing::warn!(
-                event = "connection_refused",
-                connections = shared.connections.get()
-            ),
+            Ok(_) => {
+                tracing::warn!(event = "connection_refused", connections = shared.connections.get());
+            }
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
                 sleep(ACCEPT_PAUSE).await;
@@ -140,7 +139,11 @@
 }
 
 /// Answers a request that cannot be read and ends the connection.
-async fn refuse(client: &mut Http1Connection, status: Option<u16>, reason: &impl std::fmt::Display) {
+async fn refuse(
+    client: &mut Http1Connection,
+    status: Option<u16>,
+    reason: &impl std::fmt::Display,
+) {
     let Some(status) = status else { return };
     tracing::info!(event = "request_unreadable", status, reason = %reason);
     let body = format!("{reason}\n");
--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -6,21 +6,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mulberry_http1::{
-    Http1Connection, RequestHead, ResponseHead, encode_chunk,
-};
+use mulberry_http1::{Http1Connection, RequestHead, ResponseHead, encode_chunk};
 use mulberry_routes::{Denied, Route, RouteKind, RouteTable, Service, Target};
 use mulberry_scheduler::{Decision, Outcome, Work};
 use rand::Rng as _;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use crate::{EventRelay, RetryBudget};
 use crate::attempt::{Answer, Attempt, SendError};
 use crate::dialect::{CallerFields, ForwardFields};
 use crate::loans::{Lender, Loan};
 use crate::metrics::{AttemptLabels, LengthLabels, RequestLabels, prompt_class};
 use crate::placement::{PlacedJob, Placer};
 use crate::shared::Shared;
-use crate::EventRelay;
 
 /// Sends that reached no target and may be made beyond the attempts of the route.
 const MAX_UNSENT: u32 = 3;
@@ -174,9 +172,9 @@
 ) -> Next {
     let fields = shared.dialect.caller_fields(&head.headers);
     if shared.table().is_none() {
-        let limit = fields.deadline_ms.map_or(LEARNING, |ms| {
-            LEARNING.min(Duration::from_millis(ms).mul_f64(LEARNING_SHARE))
-        });
+        let limit = fields
+            .deadline_ms
+            .map_or(LEARNING, |ms| LEARNING.min(Duration::from_millis(ms).mul_f64(LEARNING_SHARE)));
         tokio::select! {
             () = wait_until(shared, arrived + limit, || shared.table().is_some()) => {}
             () = client.wait_closed() => return Next::Close,
@@ -244,9 +242,9 @@
             request_id: fields.request_id.clone(),
             version,
         };
-        let table = shared.table().filter(|_| {
-            !(shared.settings.refuse_when_unlinked && shared.links.get() == 0)
-        });
+        let table = shared
+            .table()
+            .filter(|_| !(shared.settings.refuse_when_unlinked && shared.links.get() == 0));
         let Some(table) = table else {
             return Err(refused(503, Some(NO_TARGET_RETRY_MS), "no configuration is known yet"));
         };
@@ -301,7 +299,8 @@
             }
             Some(Obtained::Whole { head, body }) => {
                 let status = head.status;
-                let outcome = if (200..400).contains(&status) { "served" } else { "failed_at_target" };
+                let outcome =
+                    if (200..400).contains(&status) { "served" } else { "failed_at_target" };
                 let next = send_whole(client, head, &body, keeps_alive).await;
                 self.end(outcome, status);
                 next
@@ -595,8 +594,7 @@
 
     /// Waits for the first target of the service to become known, as after a restart of everything.
     async fn learn_targets(&self) {
-        let has_targets =
-            || self.shared.fleet.borrow().usable(&self.service).next().is_some();
+        let has_targets = || self.shared.fleet.borrow().usable(&self.service).next().is_some();
         if self.sends > 0 || has_targets() {
             return;
         }
@@ -626,14 +624,7 @@
         } else {
             self.deadline
         };
-        Ok(Chosen {
-            target_id,
-            address,
-            job: None,
-            helpers: Vec::new(),
-            loan: None,
-            patience,
-        })
+        Ok(Chosen { target_id, address, job: None, helpers: Vec::new(), loan: None, patience })
     }
 
     async fn choose_engine(&mut self) -> Result<Chosen, GivenUp> {
@@ -724,9 +715,8 @@
         let health = self.shared.health.borrow();
         let cost = |record: &mulberry_directory::TargetRecord| {
             let id = &*record.id;
-            let is_silent = fleet
-                .silent_since_ms(id)
-                .is_some_and(|since| !health.has_served_since(since, id));
+            let is_silent =
+                fleet.silent_since_ms(id).is_some_and(|since| !health.has_served_since(since, id));
             let is_avoided = is_silent || health.is_suspended(now_ms, id);
             f64::from(health.in_flight(id))
                 + health.failure_share(id) * 4.0
@@ -813,9 +803,8 @@
     fn engine_patience(&self) -> Duration {
         let aim = Duration::from_millis(self.route.aim_ms);
         let pause = Duration::from_millis(self.route.max_pause_ms);
-        let patience = CALLER_PATIENCE
-            .max(aim * CALLER_PATIENCE_AIMS)
-            .max(pause * CALLER_PATIENCE_PAUSES);
+        let patience =
+            CALLER_PATIENCE.max(aim * CALLER_PATIENCE_AIMS).max(pause * CALLER_PATIENCE_PAUSES);
         patience.mul_f64(ENGINE_PATIENCE)
     }
 
@@ -832,9 +821,8 @@
     }
 
     fn take_budget(&self) -> bool {
-        self.shared.with_budget(&self.service, |budget, now_ms, gateways| {
-            budget.take(now_ms, gateways)
-        })
+        self.shared
+            .with_budget(&self.service, RetryBudget::take)
     }
 
     fn give_up_late(&mut self) -> Obtained {
--- a/crates/mulberry-gateway/src/gateway.rs
+++ b/crates/mulberry-gateway/src/gateway.rs
@@ -66,9 +66,11 @@
             None => None,
         };
         let address = settings.gateway_address;
-        let socket = UdpSocket::bind(address)
-            .await
-            .map_err(|source| GatewayError { what: "gateways", address, source })?;
+        let socket = UdpSocket::bind(address).await.map_err(|source| GatewayError {
+            what: "gateways",
+            address,
+            source,
+        })?;
         let incarnation = rand::random();
         let placer = Placer::new(&settings, incarnation, Rc::new(socket));
         let stop_time = Duration::from_millis(settings.stop_ms);
--- a/crates/mulberry-gateway/src/loans.rs
+++ b/crates/mulberry-gateway/src/loans.rs
@@ -62,14 +62,14 @@
     ) -> Result<Loan, Arc<str>> {
         let ticket: Rc<str> = ticket.into();
         let lenders: Rc<[Lender]> = lenders.into();
-        let renewal = tokio::task::spawn_local(renew(shared.clone(), ticket.clone(), lenders.clone()));
+        let renewal =
+            tokio::task::spawn_local(renew(shared.clone(), ticket.clone(), lenders.clone()));
         // Made first, so that it is given back whole when a lender fails or the request ends meanwhile.
         let loan = Loan { shared: shared.clone(), ticket, lenders, renewal };
         let mut calls = JoinSet::new();
         for lender in loan.lenders.iter().cloned() {
             let shared = shared.clone();
-            let call =
-                shared.dialect.reserve(&lender.id, &loan.ticket, lender.tokens, HOLD_MS);
+            let call = shared.dialect.reserve(&lender.id, &loan.ticket, lender.tokens, HOLD_MS);
             calls.spawn_local(async move {
                 let status = order(&shared, &lender, &call).await;
                 (status, lender)
--- a/crates/mulberry-gateway/src/placement.rs
+++ b/crates/mulberry-gateway/src/placement.rs
@@ -56,18 +56,38 @@
 /// Between gateways.
 #[derive(Debug, Serialize, Deserialize)]
 enum HomeMessage {
-    Place { job: JobId, work: Work },
-    Decided { number: u64, decision: Decision },
-    FirstEvent { job: JobId },
-    Finish { job: JobId, outcome: Outcome },
+    Place {
+        job: JobId,
+        work: Work,
+    },
+    Decided {
+        number: u64,
+        decision: Decision,
+    },
+    FirstEvent {
+        job: JobId,
+    },
+    Finish {
+        job: JobId,
+        outcome: Outcome,
+    },
 
     /// Numbers of all active requests of a gateway; those above `up_to` may be missing.
-    Active { gateway: u64, up_to: u64, numbers: Vec<u64> },
+    Active {
+        gateway: u64,
+        up_to: u64,
+        numbers: Vec<u64>,
+    },
 
     /// Asks for the requests that the home does not know.
-    Unknown { numbers: Vec<u64> },
+    Unknown {
+        numbers: Vec<u64>,
+    },
 
-    Tell { gateway: u64, job: ActiveJob },
+    Tell {
+        gateway: u64,
+        job: ActiveJob,
+    },
 }
 
 /// Places generations.
@@ -145,20 +165,19 @@
     }
 
     /// Places a generation.
-    pub(crate) async fn place(
-        shared: &Rc<Shared>,
-        work: Work,
-    ) -> Result<PlacedJob, Decision> {
+    pub(crate) async fn place(shared: &Rc<Shared>, work: Work) -> Result<PlacedJob, Decision> {
         let placer = &shared.placer;
         let number = placer.next_number.get();
         placer.next_number.set(number + 1);
         let job = JobId { gateway: placer.incarnation, number };
         let begin = tokio::time::Instant::now();
         let (decision, decided_by) = match placer.home(shared) {
-            Some((gateway, address)) => match placer.ask(shared, gateway, address, job, &work).await {
-                Some(decision) => (decision, "home"),
-                None => (placer.decide_alone(shared, job, &work), "alone"),
-            },
+            Some((gateway, address)) => {
+                match placer.ask(shared, gateway, address, job, &work).await {
+                    Some(decision) => (decision, "home"),
+                    None => (placer.decide_alone(shared, job, &work), "alone"),
+                }
+            }
             None => (placer.decide_as_home(shared, job, &work), "self"),
         };
         let decision = match decision {
--- a/crates/mulberry-gateway/src/registry_links.rs
+++ b/crates/mulberry-gateway/src/registry_links.rs
@@ -10,9 +10,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use mulberry_directory::{
-    GatewayMessage, LinkMessage, RegistryMessage, read_frame, write_frame,
-};
+use mulberry_directory::{GatewayMessage, LinkMessage, RegistryMessage, read_frame, write_frame};
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
--- a/crates/mulberry-gateway/src/shared.rs
+++ b/crates/mulberry-gateway/src/shared.rs
@@ -155,8 +155,7 @@
         let gateways = self.fleet.borrow().sharing_gateways();
         let mut budgets = self.budgets.borrow_mut();
         let settings = self.settings.retry;
-        let budget =
-            budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(settings));
+        let budget = budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(settings));
         f(budget, now_ms, gateways)
     }
 
--- a/crates/mulberry-gateway/src/sockets.rs
+++ b/crates/mulberry-gateway/src/sockets.rs
@@ -26,10 +26,7 @@
 }
 
 /// Connects to a target.
-pub(crate) async fn connect_target(
-    address: SocketAddr,
-    within: Duration,
-) -> io::Result<TcpStream> {
+pub(crate) async fn connect_target(address: SocketAddr, within: Duration) -> io::Result<TcpStream> {
     let stream = connect(address, within).await?;
     set_up(&stream, TARGET_UNANSWERED)?;
     Ok(stream)
--- a/crates/mulberry-http1/src/connection.rs
+++ b/crates/mulberry-http1/src/connection.rs
@@ -155,7 +155,7 @@
                 Ok(_) => {}
             }
         }
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 
     /// Whether the peer has neither sent anything nor closed the connection, as far as can be seen without waiting.
@@ -226,10 +226,7 @@
 impl ReadError {
     /// Whether the connection ended or failed, as opposed to a message that cannot be used.
     pub fn is_disconnect(&self) -> bool {
-        matches!(
-            self,
-            ReadError::Closed | ReadError::Io(_) | ReadError::Body(BodyError::Truncated)
-        )
+        matches!(self, ReadError::Closed | ReadError::Io(_) | ReadError::Body(BodyError::Truncated))
     }
 }
 
--- a/crates/mulberry-http1/tests/messages.rs
+++ b/crates/mulberry-http1/tests/messages.rs
@@ -55,9 +55,8 @@
 
 #[test]
 fn a_response_without_length_ends_with_its_connection() {
-    let parse = |text: &str| {
-        ResponseHead::parse(text.as_bytes()).expect("parses").expect("complete").0
-    };
+    let parse =
+        |text: &str| ResponseHead::parse(text.as_bytes()).expect("parses").expect("complete").0;
     let head = parse("HTTP/1.1 200 OK\r\n\r\n");
     assert_eq!(response_framing("GET", &head), Ok(Framing::UntilClose));
     assert_eq!(response_framing("HEAD", &head), Ok(Framing::Length(0)));
--- a/crates/mulberry-registry/src/disk_thread.rs
+++ b/crates/mulberry-registry/src/disk_thread.rs
@@ -35,8 +35,15 @@
 /// What the disk has done.
 #[derive(Debug)]
 pub(crate) enum DiskEvent {
-    Opened { member: MemberId, durable: DurableState, notes: Vec<u8> },
-    Written { writes: Writes, took_s: f64 },
+    Opened {
+        member: MemberId,
+        durable: DurableState,
+        notes: Vec<u8>,
+    },
+    Written {
+        writes: Writes,
+        took_s: f64,
+    },
     Saved(Snapshot),
 
     /// Nothing that was asked since counts as written; the folder must be opened again.
@@ -54,12 +61,10 @@
     ///
     /// # Errors
     /// The thread cannot be started.
-    pub(crate) fn start(
-        folder: PathBuf,
-    ) -> io::Result<(DiskThread, UnboundedReceiver<DiskEvent>)> {
+    pub(crate) fn start(folder: PathBuf) -> io::Result<(DiskThread, UnboundedReceiver<DiskEvent>)> {
         let (jobs, receiver) = unbounded();
         let (sender, events) = unbounded_channel();
-        Builder::new().name("disk".to_owned()).spawn(move || run(folder, &receiver, &sender))?;
+        Builder::new().name("disk".to_owned()).spawn(move || run(&folder, &receiver, &sender))?;
         Ok((DiskThread { jobs }, events))
     }
 
@@ -87,7 +92,7 @@
     fs::rename(aside, folder.join(NOTES_FILE))
 }
 
-fn run(path: PathBuf, jobs: &Receiver<DiskJob>, events: &UnboundedSender<DiskEvent>) {
+fn run(path: &Path, jobs: &Receiver<DiskJob>, events: &UnboundedSender<DiskEvent>) {
     let mut folder: Option<DataFolder> = None;
     while let Ok(job) = jobs.recv() {
         let event = match (job, &mut folder) {
@@ -96,24 +101,23 @@
                 folder = None;
                 let settings =
                     LogSettings { segment_bytes: SEGMENT_BYTES, ..LogSettings::default() };
-                DataFolder::open(&path, settings).map(|(opened, durable)| {
+                DataFolder::open(path, settings).map(|(opened, durable)| {
                     let member = opened.member_id();
                     folder = Some(opened);
-                    DiskEvent::Opened { member, durable, notes: read_notes(&path) }
+                    DiskEvent::Opened { member, durable, notes: read_notes(path) }
                 })
             }
             (DiskJob::Write(writes), Some(folder)) => {
                 let begin = Instant::now();
-                folder.write(&writes).map(|()| DiskEvent::Written {
-                    writes,
-                    took_s: begin.elapsed().as_secs_f64(),
-                })
+                folder
+                    .write(&writes)
+                    .map(|()| DiskEvent::Written { writes, took_s: begin.elapsed().as_secs_f64() })
             }
             (DiskJob::Save(snapshot), Some(folder)) => {
                 folder.save_snapshot(&snapshot).map(|()| DiskEvent::Saved(snapshot))
             }
             (DiskJob::Note(notes), Some(_)) => {
-                if let Err(error) = write_notes(&path, &notes) {
+                if let Err(error) = write_notes(path, &notes) {
                     tracing::warn!(event = "notes_not_written", %error);
                 }
                 continue;
--- a/crates/mulberry-registry/src/membership.rs
+++ b/crates/mulberry-registry/src/membership.rs
@@ -59,9 +59,10 @@
         return Some(MembershipPlan { members: changed, reason: "new_member" });
     }
 
-    let successor = members.learners.iter().copied().find(|&learner| {
-        is_alive(learner) && view(learner).is_some_and(|view| view.is_caught_up)
-    });
+    let successor =
+        members.learners.iter().copied().find(|&learner| {
+            is_alive(learner) && view(learner).is_some_and(|view| view.is_caught_up)
+        });
     if let Some(successor) = successor {
         if members.voters.len() < wanted_voters {
             changed.learners.retain(|&learner| learner != successor);
--- a/crates/mulberry-registry/src/peer_message.rs
+++ b/crates/mulberry-registry/src/peer_message.rs
@@ -13,19 +13,36 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
     Hello(PeerHello),
-    Raft { from: u64, to: u64, message: RaftMessage },
+    Raft {
+        from: u64,
+        to: u64,
+        message: RaftMessage,
+    },
 
     /// Asks the leader to replicate a command.
-    Propose { from: u64, ticket: u64, command: Command },
+    Propose {
+        from: u64,
+        ticket: u64,
+        command: Command,
+    },
 
     /// Answer to [`PeerMessage::Propose`]; false: it is not known whether the command will be in force.
-    Proposed { ticket: u64, is_committed: bool },
+    Proposed {
+        ticket: u64,
+        is_committed: bool,
+    },
 
     /// Asks the leader for an index that holds all that was acknowledged before.
-    ReadIndex { from: u64, ticket: u64 },
+    ReadIndex {
+        from: u64,
+        ticket: u64,
+    },
 
     /// Answer to [`PeerMessage::ReadIndex`]; `None`: the peer could not confirm that it leads.
-    ReadIndexed { ticket: u64, index: Option<u64> },
+    ReadIndexed {
+        ticket: u64,
+        index: Option<u64>,
+    },
 
     Targets(Vec<TargetRecord>),
 
@@ -33,7 +50,10 @@
     Heard(Vec<Arc<str>>),
 
     /// Gateways that are linked to the sender.
-    Gateways { from: u64, gateways: Vec<GatewayInfo> },
+    Gateways {
+        from: u64,
+        gateways: Vec<GatewayInfo>,
+    },
 }
 
 /// How a registry introduces itself.
--- a/crates/mulberry-registry/src/public_protocol.rs
+++ b/crates/mulberry-registry/src/public_protocol.rs
@@ -10,17 +10,27 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum PublicCall {
     /// A whole configuration, and the bytes to read back.
-    Configure { config: Box<RoutingConfig>, document: Vec<u8> },
+    Configure {
+        config: Box<RoutingConfig>,
+        document: Vec<u8>,
+    },
 
     /// Asks for the newest configuration.
     ReadConfig,
 
-    Evacuate { zone: Arc<str> },
-    Restore { zone: Arc<str> },
+    Evacuate {
+        zone: Arc<str>,
+    },
+    Restore {
+        zone: Arc<str>,
+    },
     Announce(TargetRecord),
 
     /// A target leaves; `born_ms` is its start, if it says so.
-    Leave { id: Arc<str>, born_ms: Option<u64> },
+    Leave {
+        id: Arc<str>,
+        born_ms: Option<u64>,
+    },
 }
 
 /// A call that cannot be used.
--- a/crates/mulberry-registry/src/public_server.rs
+++ b/crates/mulberry-registry/src/public_server.rs
@@ -169,7 +169,8 @@
     fn is_overtaken(&self, command: &Command) -> bool {
         let Command::Configure { config, .. } = command else { return false };
         let node = self.node.borrow();
-        node.state().is_some_and(|state| state.config.is_some() && config.version <= state.version())
+        node.state()
+            .is_some_and(|state| state.config.is_some() && config.version <= state.version())
     }
 
     async fn read_config(&self, deadline: Instant) -> Answer {
--- a/crates/mulberry-registry/src/registry.rs
+++ b/crates/mulberry-registry/src/registry.rs
@@ -139,8 +139,7 @@
 }
 
 fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, RegistryError> {
-    sockets::listen(address)
-        .map_err(|source| RegistryError::Listen { what, address, source })
+    sockets::listen(address).map_err(|source| RegistryError::Listen { what, address, source })
 }
 
 async fn accept_links(listener: TcpListener, node: SharedNode) {
--- /dev/null
+++ b/crates/mulberry-registry/tests/group.rs
@@ -0,0 +1,290 @@
+//! Whole groups on loopback, with their disks and links.
+
+use std::collections::HashMap;
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use mulberry_directory::{TargetRecord, TargetState};
+use mulberry_registry::{BadCall, PublicCall, PublicProtocol, Registry, RegistrySettings};
+use mulberry_routes::RoutingConfig;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::oneshot;
+
+/// Time for a group to form, elect or take a member back; generous, since the machine may be busy.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The first version of a configuration is 1; the body of a call is the version.
+#[derive(Debug)]
+struct TestProtocol;
+
+impl PublicProtocol for TestProtocol {
+    fn decode(&self, method: &str, path: &str, body: Vec<u8>) -> Result<PublicCall, BadCall> {
+        let text = String::from_utf8_lossy(&body).into_owned();
+        match (method, path) {
+            ("GET", "/config") => Ok(PublicCall::ReadConfig),
+            ("PUT", "/config") => {
+                let version = text.split(' ').next().and_then(|number| number.parse().ok());
+                let version = version.ok_or(BadCall { status: 400, reason: "bad".to_owned() })?;
+                let config = RoutingConfig { version, ..RoutingConfig::default() };
+                Ok(PublicCall::Configure { config: Box::new(config), document: body })
+            }
+            ("PUT", "/target") => Ok(PublicCall::Announce(TargetRecord {
+                id: text.as_str().into(),
+                born_ms: 1,
+                sequence: 1,
+                service: "s".into(),
+                address: ([127, 0, 0, 1], 1).into(),
+                zone: "z".into(),
+                slots: 1,
+                state: TargetState::Ready,
+                cold_left_ms: 0,
+            })),
+            _ => Err(BadCall { status: 404, reason: "unknown".to_owned() }),
+        }
+    }
+
+    fn media_type(&self) -> &'static str {
+        "text/plain"
+    }
+
+    fn accepted(&self) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn problem(&self, reason: &str) -> Vec<u8> {
+        reason.as_bytes().to_vec()
+    }
+}
+
+struct Running {
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// A group whose members share a port number for links, on different loopback addresses.
+struct Group {
+    folder: PathBuf,
+    link_port: u16,
+    public_port: u16,
+
+    /// Third byte of all addresses.
+    network: u8,
+
+    /// Last bytes of the addresses of the seeds.
+    seeds: Vec<u8>,
+    running: HashMap<u8, Running>,
+}
+
+impl Group {
+    /// Starts members with these last bytes of their address.
+    fn form(name: &str, network: u8, seeds: &[u8]) -> Group {
+        let folder = std::env::temp_dir().join(format!("mulberry-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        let first = SocketAddr::from(([127, 0, network, seeds[0]], 0));
+        let free = || TcpListener::bind(first).expect("binds").local_addr().expect("bound").port();
+        let (link_port, public_port) = (free(), free());
+        let mut group = Group {
+            folder,
+            link_port,
+            public_port,
+            network,
+            seeds: seeds.to_vec(),
+            running: HashMap::new(),
+        };
+        for seed in seeds {
+            group.start(*seed, true);
+        }
+        group
+    }
+
+    fn public(&self, member: u8) -> SocketAddr {
+        ([127, 0, self.network, member], self.public_port).into()
+    }
+
+    fn start(&mut self, member: u8, bootstrap: bool) {
+        let network = self.network;
+        let link = |last: u8| SocketAddr::from(([127, 0, network, last], self.link_port));
+        let settings = RegistrySettings {
+            name: format!("registry-{member}"),
+            public_address: self.public(member),
+            link_address: link(member),
+            seeds: self.seeds.iter().map(|last| link(*last)).collect(),
+            bootstrap,
+            data_folder: self.folder.join(member.to_string()),
+            ..RegistrySettings::default()
+        };
+        let (stop, stopped) = oneshot::channel::<()>();
+        let thread = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let (_seeds, changed) = unbounded_channel();
+            let stopped = async {
+                let _ = stopped.await;
+            };
+            let registry = Registry::new(settings, Rc::new(TestProtocol));
+            runtime.expect("a runtime").block_on(registry.run(stopped, changed)).expect("runs");
+        });
+        self.running.insert(member, Running { stop: Some(stop), thread: Some(thread) });
+    }
+
+    fn stop(&mut self, member: u8) {
+        self.running.remove(&member);
+    }
+
+    fn lose_disk(&self, member: u8) {
+        std::fs::remove_dir_all(self.folder.join(member.to_string())).expect("has a folder");
+    }
+
+    fn call(&self, member: u8, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+        let mut stream =
+            TcpStream::connect_timeout(&self.public(member), Duration::from_secs(1)).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(3))).ok()?;
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: r\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(request.as_bytes()).ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).ok()?;
+        let status = answer.split(' ').nth(1)?.parse().ok()?;
+        let body = answer.split_once("\r\n\r\n").map(|(_, body)| body.to_owned());
+        Some((status, body.unwrap_or_default()))
+    }
+
+    /// Calls until the status is 200.
+    fn insist(&self, member: u8, method: &str, path: &str, body: &str) -> String {
+        let begin = Instant::now();
+        loop {
+            if let Some((200, answer)) = self.call(member, method, path, body) {
+                return answer;
+            }
+            assert!(begin.elapsed() < PATIENCE, "{method} {path} at {member} is not answered");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
+impl Drop for Group {
+    fn drop(&mut self) {
+        self.running.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+#[test]
+fn a_change_accepted_at_one_member_is_read_back_at_each() {
+    let group = Group::form("read", 71, &[1, 2, 3]);
+    group.insist(2, "PUT", "/config", "7 first");
+    for member in [1, 2, 3] {
+        assert_eq!(group.insist(member, "GET", "/config", ""), "7 first");
+    }
+    group.insist(3, "PUT", "/config", "7 other content");
+    group.insist(1, "PUT", "/config", "6 older");
+    assert_eq!(group.insist(2, "GET", "/config", ""), "7 first");
+    assert_eq!(group.call(1, "PUT", "/config", "x").map(|answer| answer.0), Some(400));
+    assert_eq!(group.insist(1, "GET", "/config", ""), "7 first");
+}
+
+#[test]
+fn a_member_without_a_majority_answers_nothing_it_cannot_be_sure_of() {
+    let mut group = Group::form("minority", 72, &[1, 2, 3]);
+    group.insist(1, "PUT", "/config", "1 a");
+    group.stop(2);
+    group.stop(3);
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(group.call(1, "GET", "/config", "").map(|answer| answer.0), Some(503));
+    assert_eq!(group.call(1, "PUT", "/config", "2 b").map(|answer| answer.0), Some(503));
+    assert_eq!(group.call(1, "PUT", "/target", "t1").map(|answer| answer.0), Some(200));
+    group.start(2, false);
+    group.insist(1, "PUT", "/config", "3 c");
+    assert_eq!(group.insist(2, "GET", "/config", ""), "3 c");
+}
+
+#[test]
+fn all_members_stopped_at_once_come_back_with_what_was_accepted() {
+    let mut group = Group::form("restart", 73, &[1, 2, 3]);
+    for version in 1..=60 {
+        group.insist(1, "PUT", "/config", &format!("{version} content"));
+    }
+    for member in [1, 2, 3] {
+        group.stop(member);
+    }
+    for member in [1, 2, 3] {
+        group.start(member, false);
+    }
+    assert_eq!(group.insist(2, "GET", "/config", ""), "60 content");
+}
+
+#[test]
+fn a_lost_disk_is_a_full_member_again_without_an_operator() {
+    let mut group = Group::form("disk", 74, &[1, 2, 3]);
+    group.insist(1, "PUT", "/config", "1 a");
+    group.stop(3);
+    group.lose_disk(3);
+    group.start(3, false);
+    group.insist(3, "PUT", "/config", "2 b");
+    // Once it votes, the group lives without one of the others.
+    std::thread::sleep(Duration::from_secs(4));
+    group.stop(1);
+    group.insist(3, "PUT", "/config", "3 c");
+    assert_eq!(group.insist(2, "GET", "/config", ""), "3 c");
+}
+
+#[test]
+fn a_member_is_replaced_by_an_empty_one_at_another_address() {
+    let mut group = Group::form("replace", 75, &[1, 2, 3]);
+    group.insist(1, "PUT", "/config", "1 a");
+    group.stop(2);
+    group.start(4, false);
+    group.insist(4, "PUT", "/config", "2 b");
+    std::thread::sleep(Duration::from_secs(4));
+    group.stop(1);
+    group.insist(4, "PUT", "/config", "3 c");
+    assert_eq!(group.insist(3, "GET", "/config", ""), "3 c");
+}
+
+#[test]
+fn a_member_with_an_empty_disk_forms_no_group_of_its_own() {
+    let mut group = Group::form("alone", 76, &[1, 2, 3]);
+    group.insist(1, "PUT", "/config", "1 a");
+    for member in [1, 2, 3] {
+        group.stop(member);
+    }
+    group.lose_disk(1);
+    group.start(1, false);
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!(group.call(1, "PUT", "/config", "2 b").map(|answer| answer.0), Some(503));
+    group.start(2, false);
+    group.start(3, false);
+    assert_eq!(group.insist(1, "GET", "/config", ""), "1 a");
+}
+
+#[test]
+fn unreadable_calls_get_an_answer() {
+    let group = Group::form("bad", 77, &[1]);
+    group.insist(1, "PUT", "/config", "1 a");
+    let ask = |text: &str| {
+        let mut stream = TcpStream::connect(group.public(1)).expect("connects");
+        stream.write_all(text.as_bytes()).expect("sends");
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer);
+        answer.split(' ').nth(1).unwrap_or_default().to_owned()
+    };
+    assert_eq!(ask("nonsense\r\n\r\n"), "400");
+    assert_eq!(ask("PUT /config HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx"), "400");
+    assert_eq!(ask(&format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(20_000))), "431");
+}
--- /dev/null
+++ b/crates/mulberry-registry/tests/membership.rs
@@ -0,0 +1,82 @@
+//! Which change of its members a group needs next.
+
+use mulberry_consensus::{MemberId, Members};
+use mulberry_registry::{MemberView, plan_membership};
+
+fn ids(numbers: &[u64]) -> Vec<MemberId> {
+    numbers.iter().copied().map(MemberId).collect()
+}
+
+fn members(voters: &[u64], learners: &[u64]) -> Members {
+    Members { voters: ids(voters), learners: ids(learners) }
+}
+
+fn alive(member: u64) -> MemberView {
+    MemberView {
+        member: MemberId(member),
+        silent_ms: Some(50),
+        is_caught_up: true,
+        is_displaced: false,
+    }
+}
+
+fn silent(member: u64, silent_ms: u64) -> MemberView {
+    MemberView { silent_ms: Some(silent_ms), is_caught_up: false, ..alive(member) }
+}
+
+fn plan(before: &Members, views: &[MemberView]) -> Option<(Members, &'static str)> {
+    plan_membership(MemberId(1), before, views, 3).map(|plan| (plan.members, plan.reason))
+}
+
+#[test]
+fn a_whole_group_is_left_alone() {
+    assert_eq!(plan(&members(&[1, 2, 3], &[]), &[alive(1), alive(2), alive(3)]), None);
+}
+
+#[test]
+fn a_silent_voter_stays_while_nobody_could_take_its_place() {
+    let views = [alive(1), alive(2), silent(3, 60_000)];
+    assert_eq!(plan(&members(&[1, 2, 3], &[]), &views), None);
+}
+
+#[test]
+fn a_lost_disk_becomes_a_learner_then_the_old_identity_goes_then_it_votes() {
+    let displaced = MemberView { is_displaced: true, ..silent(3, 300) };
+    let new = MemberView { is_caught_up: false, ..alive(4) };
+    let group = members(&[1, 2, 3], &[]);
+    let (group, reason) = plan(&group, &[alive(1), alive(2), displaced, new]).expect("a change");
+    assert_eq!((group.clone(), reason), (members(&[1, 2, 3], &[4]), "new_member"));
+    assert_eq!(plan(&group, &[alive(1), alive(2), displaced, new]), None, "it must catch up first");
+    let views = [alive(1), alive(2), displaced, alive(4)];
+    let (group, reason) = plan(&group, &views).expect("a change");
+    assert_eq!((group.clone(), reason), (members(&[1, 2], &[4]), "voter_lost"));
+    let (group, reason) = plan(&group, &views[..2].iter().chain(&views[3..]).copied().collect::<Vec<_>>())
+        .expect("a change");
+    assert_eq!((group, reason), (members(&[1, 2, 4], &[]), "caught_up"));
+}
+
+#[test]
+fn a_successor_at_another_address_waits_until_the_old_member_falls_silent() {
+    let group = members(&[1, 2, 3], &[4]);
+    assert_eq!(plan(&group, &[alive(1), alive(2), alive(3), alive(4)]), None);
+    let views = [alive(1), alive(2), silent(3, 1_300), alive(4)];
+    assert_eq!(plan(&group, &views), Some((members(&[1, 2], &[4]), "voter_lost")));
+}
+
+#[test]
+fn the_leader_never_counts_itself_as_lost_and_takes_one_step_at_a_time() {
+    let group = members(&[1, 2, 3], &[4, 5]);
+    let views = [silent(1, 9_000), silent(2, 9_000), silent(3, 9_000), alive(4), alive(5)];
+    let (after, _) = plan(&group, &views).expect("a change");
+    assert_eq!(after.voters.len(), 2);
+    assert!(after.is_voter(MemberId(1)));
+}
+
+#[test]
+fn a_learner_that_stays_away_is_dropped() {
+    let group = members(&[1, 2, 3], &[4]);
+    let views = [alive(1), alive(2), alive(3), silent(4, 19_000)];
+    assert_eq!(plan(&group, &views), None);
+    let views = [alive(1), alive(2), alive(3), silent(4, 21_000)];
+    assert_eq!(plan(&group, &views), Some((members(&[1, 2, 3], &[]), "learner_lost")));
+}
--- /dev/null
+++ b/crates/mulberry-registry/tests/operator_state.rs
@@ -0,0 +1,66 @@
+//! Commands in the order of the log.
+
+use mulberry_registry::{Command, OperatorState};
+use mulberry_routes::RoutingConfig;
+use proptest::prelude::*;
+
+fn configure(version: u64, content: u8) -> Command {
+    Command::Configure {
+        config: RoutingConfig { version, ..RoutingConfig::default() },
+        document: vec![content],
+    }
+}
+
+#[test]
+fn the_highest_version_wins_and_the_first_content_under_it_stays() {
+    let mut state = OperatorState::default();
+    state.apply(1, configure(5, 1));
+    state.apply(2, configure(5, 2));
+    state.apply(3, configure(4, 3));
+    assert_eq!((state.version(), &**state.document), (5, &[1][..]));
+    state.apply(4, configure(9, 4));
+    assert_eq!((state.version(), &**state.document), (9, &[4][..]));
+    assert_eq!(state.applied_index, 4);
+}
+
+#[test]
+fn the_first_configuration_counts_whatever_its_version() {
+    let mut state = OperatorState::default();
+    state.apply(1, configure(0, 1));
+    assert!(state.config.is_some());
+}
+
+#[test]
+fn zones_are_taken_out_and_back_by_the_order_of_the_log() {
+    let mut state = OperatorState::default();
+    state.apply(7, Command::Evacuate { zone: "a".into() });
+    state.apply(8, Command::Evacuate { zone: "a".into() });
+    assert_eq!(state.evacuated.len(), 1);
+    state.apply(9, Command::Restore { zone: "a".into() });
+    assert!(state.evacuated.is_empty());
+    assert_eq!(state.evacuated_index, 9);
+}
+
+#[test]
+fn an_address_belongs_to_who_started_there_last() {
+    let mut state = OperatorState::default();
+    let address = ([10, 0, 0, 1], 7340).into();
+    state.apply(1, Command::Locate { member: 1, address });
+    state.apply(2, Command::Locate { member: 2, address });
+    assert_eq!(state.addresses.into_iter().collect::<Vec<_>>(), [(2, address)]);
+}
+
+proptest! {
+    #[test]
+    fn any_order_of_configurations_ends_with_the_highest(versions in prop::collection::vec(1u64..50, 1..20)) {
+        let mut state = OperatorState::default();
+        let mut highest = 0;
+        for (index, version) in (1..).zip(&versions) {
+            state.apply(index, configure(*version, *version as u8));
+            prop_assert!(state.version() >= highest, "a version went back");
+            highest = highest.max(*version);
+            prop_assert_eq!(state.version(), highest);
+        }
+        prop_assert_eq!(&**state.document, &[highest as u8][..]);
+    }
+}
--- a/crates/mulberry-routes/src/route_table.rs
+++ b/crates/mulberry-routes/src/route_table.rs
@@ -39,10 +39,7 @@
     pub fn new(config: RoutingConfig) -> RouteTable {
         let mut places: HashMap<_, HashMap<_, _>> = HashMap::new();
         for (index, route) in config.routes.iter().enumerate() {
-            places
-                .entry(route.host.clone())
-                .or_default()
-                .insert(route.path_prefix.clone(), index);
+            places.entry(route.host.clone()).or_default().insert(route.path_prefix.clone(), index);
         }
         let mut keys = HashMap::new();
         for (index, tenant) in config.tenants.iter().enumerate() {
--- a/crates/mulberry-routes/tests/routes.rs
+++ b/crates/mulberry-routes/tests/routes.rs
@@ -85,11 +85,7 @@
     check(&|c| c.routes[0].path_prefix = "/a".into());
     check(&|c| c.services.push(c.services[0].clone()));
     check(&|c| {
-        c.tenants.push(Tenant {
-            name: "u".into(),
-            api_keys: vec!["k".into()],
-            priority: None,
-        });
+        c.tenants.push(Tenant { name: "u".into(), api_keys: vec!["k".into()], priority: None });
     });
     insta::assert_snapshot!(lines.join("\n"), @r"
     route short names the service gone, which is not listed; add the service or change the route
--- a/crates/mulberry-scheduler/src/cost.rs
+++ b/crates/mulberry-scheduler/src/cost.rs
@@ -60,7 +60,8 @@
     }
 
     pub(crate) fn new(aim_left_ms: u64, max_pause_ms: u64, time_left_ms: u64) -> Bounds {
-        let patience = GIVE_UP_MS.max(GIVE_UP_AIMS * aim_left_ms).max(GIVE_UP_PAUSES * max_pause_ms);
+        let patience =
+            GIVE_UP_MS.max(GIVE_UP_AIMS * aim_left_ms).max(GIVE_UP_PAUSES * max_pause_ms);
         Bounds { aim_ms: aim_left_ms as f64, give_up_ms: patience.min(time_left_ms) as f64 }
     }
 
--- a/crates/mulberry-scheduler/src/engine_state.rs
+++ b/crates/mulberry-scheduler/src/engine_state.rs
@@ -93,6 +93,10 @@
         self.holds.values().filter(|held| held.max_pause_ms <= max_pause_ms).count()
     }
 
+    pub(crate) fn reading_parts(&self) -> usize {
+        self.reads.len()
+    }
+
     pub(crate) fn is_suspended(&self, now_ms: u64) -> bool {
         now_ms < self.suspended_until_ms
     }
--- a/crates/mulberry-scheduler/src/job.rs
+++ b/crates/mulberry-scheduler/src/job.rs
@@ -5,9 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Identity of a request: the gateway that serves it, with its start, and a number of that gateway.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct JobId {
     pub gateway: u64,
     pub number: u64,
@@ -69,7 +67,9 @@
     Placed(Placement),
 
     /// An answer in time is out of reach.
-    Refused { retry_after_ms: u64 },
+    Refused {
+        retry_after_ms: u64,
+    },
 
     /// No engine of the service can be used at all.
     NoEngine,
--- a/crates/mulberry-scheduler/src/scheduler.rs
+++ b/crates/mulberry-scheduler/src/scheduler.rs
@@ -54,6 +54,10 @@
 /// Time from the end of a prompt's reading to its first event, roughly.
 const FIRST_PASS_MS: f64 = 60.0;
 
+/// Cost of each part that an engine reads already: requests that are read one after the other there begin to write in
+/// the pauses of each other.
+const TURN_COST: f64 = 0.12;
+
 /// Requests with tight pauses on one engine up to which they are kept together.
 const PACKED_REQUESTS: f64 = 10.0;
 
@@ -178,7 +182,9 @@
             return self.refusal(now_ms, work);
         };
         let refusal_cost = value(work.prompt_tokens) * REFUSAL_COST;
-        if plan.first_event_ms > work.time_left_ms as f64 || plan.cost - plan.order_cost > refusal_cost {
+        if plan.first_event_ms > work.time_left_ms as f64
+            || plan.cost - plan.order_cost > refusal_cost
+        {
             let retry_after_ms = self.retry_after_ms(plan.first_event_ms, work);
             return Decision::Refused { retry_after_ms };
         }
@@ -205,10 +211,8 @@
     /// A request has ended at its engine.
     pub fn finish(&mut self, now_ms: u64, job: JobId, outcome: Outcome) {
         let Some(entry) = self.jobs.get(&job) else { return };
-        if let Some(engine) = self
-            .pools
-            .get_mut(&entry.service)
-            .and_then(|pool| pool.engines.get_mut(&entry.engine))
+        if let Some(engine) =
+            self.pools.get_mut(&entry.service).and_then(|pool| pool.engines.get_mut(&entry.engine))
         {
             match outcome {
                 Outcome::Done => engine.succeeded(),
@@ -352,8 +356,7 @@
     /// The answer when no engine can take the request now.
     fn refusal(&self, now_ms: u64, work: &Work) -> Decision {
         let Some(pool) = self.pools.get(&work.service) else { return Decision::NoEngine };
-        let usable =
-            pool.engines.values().filter(|engine| !work.excluded.contains(&engine.id));
+        let usable = pool.engines.values().filter(|engine| !work.excluded.contains(&engine.id));
         let Some(wait_ms) = usable.map(|engine| engine.suspended_left_ms(now_ms)).min() else {
             return Decision::NoEngine;
         };
@@ -409,6 +412,7 @@
             let kin = engine.held_with_pause(work.max_pause_ms) as f64;
             let opening = OPENING_COST * (1.0 - (kin / PACKED_REQUESTS).min(1.0));
             let crowd = (engine.held_requests() as f64 / max_requests).powi(3) * OPENING_COST;
+            let turns = engine.reading_parts() as f64 * TURN_COST;
             let distance = if engine.zone == work.zone {
                 0.0
             } else {
@@ -419,7 +423,7 @@
                 pass_ms: engine.pass_ms(terms),
                 may_write: (engine.held_requests() as f64) < max_requests && !is_cold_full,
                 free_tokens: max_tokens.saturating_sub(engine.used_tokens()),
-                hold_cost: opening + crowd + distance,
+                hold_cost: opening + crowd + distance + turns,
             });
         }
         candidates
@@ -439,8 +443,7 @@
         let bounds = bounds(work);
         let aim_ms = bounds.aim_ms;
         let own_loss = |end_ms: f64| {
-            worth * bounds.loss(end_ms)
-                + worth * WAIT_COST * (end_ms / aim_ms.max(1.0)).min(3.0)
+            worth * bounds.loss(end_ms) + worth * WAIT_COST * (end_ms / aim_ms.max(1.0)).min(3.0)
         };
         // When each engine has read its part, and what that costs those who are there.
         let score = |candidate: &Candidate, is_helper: bool| {
@@ -455,7 +458,9 @@
             .filter(|candidate| candidate.may_write)
             .filter(|candidate| {
                 candidate.free_tokens >= tokens
-                    || (size > 1 && tokens as f64 > self.terms.memory_tokens as f64 * 0.9 && candidate.free_tokens >= work.answer_tokens + MIN_HELD_TOKENS)
+                    || (size > 1
+                        && tokens as f64 > self.terms.memory_tokens as f64 * 0.9
+                        && candidate.free_tokens >= work.answer_tokens + MIN_HELD_TOKENS)
             })
             .map(|candidate| {
                 let (end_ms, harm) = score(candidate, false);
@@ -490,10 +495,10 @@
             + harm
             + HELPER_COST * helpers.len() as f64
             + self.terms.read_ms(work.prompt_tokens) * READ_MS_COST * self.reading_share.powi(2);
-        let helpers = helpers.iter().zip(lent).map(|(helper, lent_tokens)| Helper {
-            engine: helper.3.id.clone(),
-            lent_tokens,
-        });
+        let helpers = helpers
+            .iter()
+            .zip(lent)
+            .map(|(helper, lent_tokens)| Helper { engine: helper.3.id.clone(), lent_tokens });
         Some(Plan {
             first: holder.id.clone(),
             helpers: helpers.collect(),
--- /dev/null
+++ b/crates/mulberry-scheduler/tests/common/mod.rs
@@ -0,0 +1,302 @@
+//! Engines that work in passes, and a load that is played against them.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+
+use mulberry_routes::EngineTerms;
+use mulberry_scheduler::{
+    Decision, EngineInfo, JobId, Outcome, Placement, Scheduler, SchedulerSettings, Work,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Step of the played time.
+const TICK_MS: u64 = 2;
+
+/// Terms of an engine with 16 slots and memory for 315,000 tokens.
+pub fn terms() -> EngineTerms {
+    EngineTerms {
+        slots: 16,
+        memory_tokens: 315_000,
+        step_ms: 0.85,
+        step_per_request_ms: 0.004_25,
+        step_per_1k_context_ms: 0.002_85,
+        read_tokens_per_ms: 177.0,
+        read_per_1m_pairs_ms: 0.184,
+        chunk_tokens: 2_048,
+        steps_per_pass: 51,
+        hop_ms: 0.05,
+        usual_prompt_tokens: 11_000,
+        usual_answer_tokens: 1_600,
+    }
+}
+
+pub fn engines(count: usize) -> Vec<EngineInfo> {
+    (0..count)
+        .map(|index| EngineInfo {
+            id: format!("e{index:02}").into(),
+            zone: format!("z{}", index % 3).into(),
+            cold_left_ms: 0,
+        })
+        .collect()
+}
+
+pub fn scheduler(engine_count: usize) -> Scheduler {
+    let mut scheduler = Scheduler::new(SchedulerSettings::default());
+    scheduler.set_engines(0, &"pool".into(), &terms(), None, &engines(engine_count));
+    scheduler
+}
+
+pub fn job(number: u64) -> JobId {
+    JobId { gateway: 1, number }
+}
+
+pub fn work(prompt_tokens: u64, aim_ms: u64, max_pause_ms: u64) -> Work {
+    Work {
+        service: "pool".into(),
+        prompt_tokens,
+        answer_tokens: 1_600,
+        priority: 1,
+        aim_left_ms: aim_ms,
+        max_pause_ms,
+        time_left_ms: 10_000,
+        zone: "z0".into(),
+        excluded: Vec::new(),
+    }
+}
+
+/// A request of a played load.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub at_ms: u64,
+    pub work: Work,
+    pub events: u32,
+}
+
+/// What its caller got.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Got {
+    pub prompt_tokens: u64,
+    pub is_refused: bool,
+    pub is_on_time: bool,
+    pub is_served: bool,
+}
+
+/// Who places requests.
+pub enum Placer {
+    Scheduler(Box<Scheduler>),
+
+    /// The next engine for each request, without helpers.
+    RoundRobin(usize),
+}
+
+#[derive(Debug, Default)]
+struct Engine {
+    /// Parts to read: request and milliseconds. Those of helpers are put first.
+    reads: Vec<(usize, f64)>,
+
+    /// Requests that write, with the steps until their next event.
+    writers: Vec<(usize, u32)>,
+
+    /// End of the last step.
+    free_at_ms: f64,
+}
+
+#[derive(Debug)]
+struct Running {
+    parts_left: usize,
+    engine: usize,
+    events_left: u32,
+    last_event_ms: Option<f64>,
+    worst_pause_ms: f64,
+    first_event_ms: Option<f64>,
+}
+
+/// Plays a load and returns what each caller got.
+pub fn play(engine_count: usize, arrivals: &[Arrival], mut placer: Placer) -> Vec<Got> {
+    let terms = terms();
+    let ids: Vec<Arc<str>> = engines(engine_count).into_iter().map(|e| e.id).collect();
+    let index_of = |id: &Arc<str>| ids.iter().position(|known| known == id).expect("known engine");
+    let mut engines: Vec<Engine> = (0..engine_count).map(|_| Engine::default()).collect();
+    let mut running: BTreeMap<usize, Running> = BTreeMap::new();
+    let mut refused = HashSet::new();
+    let mut ended: BTreeMap<usize, Running> = BTreeMap::new();
+    let last_ms = arrivals.iter().map(|arrival| arrival.at_ms).max().unwrap_or(0) + 20_000;
+    let mut next = 0;
+    let mut now_ms = 0;
+    while now_ms < last_ms {
+        while next < arrivals.len() && arrivals[next].at_ms <= now_ms {
+            let arrival = &arrivals[next];
+            let placement = match &mut placer {
+                Placer::Scheduler(scheduler) => {
+                    match scheduler.place(now_ms, job(next as u64), &arrival.work) {
+                        Decision::Placed(placement) => Some(placement),
+                        Decision::Refused { .. } | Decision::NoEngine => None,
+                    }
+                }
+                Placer::RoundRobin(turn) => {
+                    *turn = (*turn + 1) % engine_count;
+                    Some(Placement {
+                        engine: ids[*turn].clone(),
+                        helpers: Vec::new(),
+                        first_event_ms: 0,
+                    })
+                }
+            };
+            match placement {
+                Some(placement) => {
+                    let team = 1 + placement.helpers.len();
+                    let part_ms = terms.read_ms(arrival.work.prompt_tokens) / team as f64;
+                    let engine = index_of(&placement.engine);
+                    engines[engine].reads.push((next, part_ms));
+                    for helper in &placement.helpers {
+                        engines[index_of(&helper.engine)].reads.insert(0, (next, part_ms));
+                    }
+                    running.insert(next, Running {
+                        parts_left: team,
+                        engine,
+                        events_left: arrival.events,
+                        last_event_ms: None,
+                        worst_pause_ms: 0.0,
+                        first_event_ms: None,
+                    });
+                }
+                None => {
+                    refused.insert(next);
+                }
+            }
+            next += 1;
+        }
+        for at in 0..engine_count {
+            step_engine(at, now_ms as f64, &terms, &mut engines, &mut running, |request, is_end| {
+                if let Placer::Scheduler(scheduler) = &mut placer {
+                    if is_end {
+                        scheduler.finish(now_ms, job(request as u64), Outcome::Done);
+                    } else {
+                        scheduler.first_event(job(request as u64));
+                    }
+                }
+            });
+        }
+        let done: Vec<usize> =
+            running.iter().filter(|(_, r)| r.events_left == 0).map(|(id, _)| *id).collect();
+        for request in done {
+            ended.extend(running.remove(&request).map(|state| (request, state)));
+        }
+        now_ms += TICK_MS;
+    }
+    let judge = |(request, arrival): (usize, &Arrival)| {
+        let state = ended.get(&request);
+        let is_on_time = state.is_some_and(|state| {
+            let first_ms = state.first_event_ms.unwrap_or(f64::MAX) - arrival.at_ms as f64;
+            first_ms <= arrival.work.aim_left_ms as f64
+                && state.worst_pause_ms <= arrival.work.max_pause_ms as f64
+        });
+        Got {
+            prompt_tokens: arrival.work.prompt_tokens,
+            is_refused: refused.contains(&request),
+            is_on_time,
+            is_served: state.is_some(),
+        }
+    };
+    arrivals.iter().enumerate().map(judge).collect()
+}
+
+/// Lets an engine take its steps up to `now_ms`. Each reads one chunk at most and writes a token of each writer.
+fn step_engine(
+    at: usize,
+    now_ms: f64,
+    terms: &EngineTerms,
+    engines: &mut [Engine],
+    running: &mut BTreeMap<usize, Running>,
+    mut tell: impl FnMut(usize, bool),
+) {
+    let chunk_ms = terms.chunk_tokens as f64 / terms.read_tokens_per_ms;
+    loop {
+        let engine = &mut engines[at];
+        if engine.free_at_ms > now_ms || (engine.reads.is_empty() && engine.writers.is_empty()) {
+            return;
+        }
+        let begin_ms = engine.free_at_ms.max(now_ms - TICK_MS as f64);
+        let mut step_ms = 0.0;
+        let mut has_read = None;
+        if let Some((request, left_ms)) = engine.reads.first_mut() {
+            let read_ms = left_ms.min(chunk_ms);
+            *left_ms -= read_ms;
+            step_ms += read_ms;
+            if *left_ms <= 0.0 {
+                has_read = Some(*request);
+                engine.reads.remove(0);
+            }
+        }
+        if !engine.writers.is_empty() {
+            let context = engine.writers.len() as u64 * 6_600;
+            let pass_ms = terms.pass_ms(engine.writers.len(), context);
+            step_ms += pass_ms / f64::from(terms.steps_per_pass);
+        }
+        let end_ms = begin_ms + step_ms;
+        engine.free_at_ms = end_ms;
+        for (_, steps) in &mut engine.writers {
+            *steps -= 1;
+        }
+        let due: Vec<usize> =
+            engine.writers.iter().filter(|(_, steps)| *steps == 0).map(|(id, _)| *id).collect();
+        for request in due {
+            let Some(state) = running.get_mut(&request) else { continue };
+            let pause = state.last_event_ms.map_or(0.0, |last| end_ms - last);
+            state.worst_pause_ms = state.worst_pause_ms.max(pause);
+            state.last_event_ms = Some(end_ms);
+            if state.first_event_ms.is_none() {
+                state.first_event_ms = Some(end_ms);
+                tell(request, false);
+            }
+            state.events_left -= 1;
+            if state.events_left == 0 {
+                engine.writers.retain(|(writer, _)| *writer != request);
+                tell(request, true);
+            }
+        }
+        for (_, steps) in &mut engine.writers {
+            if *steps == 0 {
+                *steps = terms.steps_per_pass;
+            }
+        }
+        let Some(state) = has_read.and_then(|request| running.get_mut(&request)) else { continue };
+        state.parts_left -= 1;
+        if state.parts_left == 0 {
+            let holder = state.engine;
+            engines[holder].writers.extend(has_read.map(|id| (id, terms.steps_per_pass)));
+        }
+    }
+}
+
+/// Arrivals of a heavy time: `shorts` and `longs` a second for `seconds`.
+pub fn mix(seed: u64, seconds: u64, shorts: f64, longs: f64) -> Vec<Arrival> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut arrivals = Vec::new();
+    for at_ms in 0..seconds * 1_000 {
+        if rng.random_bool(shorts / 1_000.0) {
+            let tokens = rng.random_range(1_000..9_000);
+            arrivals.push(Arrival { at_ms, work: work(tokens, 300, 250), events: 33 });
+        }
+        if rng.random_bool(longs / 1_000.0) {
+            let tokens = rng.random_range(80_000..230_000);
+            let work = Work { time_left_ms: 15_000, ..work(tokens, 3_000, 1_000) };
+            arrivals.push(Arrival { at_ms, work, events: 16 });
+        }
+    }
+    arrivals
+}
+
+/// Shares of the shorts and of the longs that were on time.
+pub fn on_time(got: &[Got]) -> (f64, f64) {
+    let share = |is_long: bool| {
+        let of_kind: Vec<&Got> =
+            got.iter().filter(|one| (one.prompt_tokens > 16_000) == is_long).collect();
+        let on_time = of_kind.iter().filter(|one| one.is_on_time).count();
+        on_time as f64 / of_kind.len().max(1) as f64
+    };
+    (share(false), share(true))
+}
--- /dev/null
+++ b/crates/mulberry-scheduler/tests/placement.rs
@@ -0,0 +1,139 @@
+//! Single decisions.
+
+mod common;
+
+use std::collections::HashSet;
+
+use common::{engines, job, scheduler, terms, work};
+use mulberry_routes::ColdLimit;
+use mulberry_scheduler::{
+    ActiveJob, Decision, EngineInfo, JobId, Outcome, Placement, Scheduler, SchedulerSettings, Work,
+};
+
+fn placed(decision: Decision) -> Placement {
+    match decision {
+        Decision::Placed(placement) => placement,
+        other => panic!("not placed: {other:?}"),
+    }
+}
+
+#[test]
+fn a_long_prompt_is_read_by_several_engines_in_time() {
+    let mut scheduler = scheduler(23);
+    let placement = placed(scheduler.place(0, job(1), &work(154_000, 3_000, 1_000)));
+    assert!(placement.helpers.len() >= 3, "{placement:?}");
+    assert!(placement.first_event_ms < 1_500, "{placement:?}");
+    let mut distinct: HashSet<_> = placement.helpers.iter().map(|h| h.engine.clone()).collect();
+    assert!(distinct.insert(placement.engine.clone()), "the holder is no helper");
+    assert_eq!(distinct.len(), placement.helpers.len() + 1);
+    assert!(placement.helpers.iter().all(|helper| helper.lent_tokens == 0), "it fits its holder");
+}
+
+#[test]
+fn a_prompt_beyond_one_engine_borrows_the_memory_that_it_lacks() {
+    let mut scheduler = scheduler(23);
+    let tokens = 500_000;
+    let work = Work { time_left_ms: 15_000, ..work(tokens, 3_000, 1_000) };
+    let placement = placed(scheduler.place(0, job(1), &work));
+    let lent: u64 = placement.helpers.iter().map(|helper| helper.lent_tokens).sum();
+    assert!(lent + terms().memory_tokens >= tokens, "{placement:?}");
+    assert!(placement.helpers.iter().all(|h| h.lent_tokens <= terms().memory_tokens));
+}
+
+#[test]
+fn short_requests_share_engines_and_leave_others_to_long_prompts() {
+    let mut scheduler = scheduler(23);
+    let mut used = HashSet::new();
+    for number in 0..20 {
+        let placement = placed(scheduler.place(number * 50, job(number), &work(3_000, 300, 250)));
+        scheduler.first_event(job(number));
+        used.insert(placement.engine);
+    }
+    assert!(used.len() <= 4, "20 short requests opened {} engines", used.len());
+    let long = placed(scheduler.place(1_000, job(100), &work(154_000, 3_000, 1_000)));
+    assert!(!used.contains(&long.engine), "the long prompt would stop writers");
+    assert!(long.helpers.iter().all(|helper| !used.contains(&helper.engine)));
+}
+
+#[test]
+fn no_engine_and_no_time_are_told_apart() {
+    let mut scheduler = scheduler(0);
+    assert_eq!(scheduler.place(0, job(1), &work(3_000, 300, 250)), Decision::NoEngine);
+    let mut other = work(3_000, 300, 250);
+    other.service = "unknown".into();
+    assert_eq!(scheduler.place(0, job(2), &other), Decision::NoEngine);
+    scheduler.set_engines(0, &"pool".into(), &terms(), None, &engines(2));
+    let hopeless = Work { time_left_ms: 500, ..work(300_000, 3_000, 1_000) };
+    let Decision::Refused { retry_after_ms } = scheduler.place(0, job(3), &hopeless) else {
+        panic!("an answer within 500 ms is out of reach");
+    };
+    assert!((100..=3_000).contains(&retry_after_ms));
+    assert_eq!(scheduler.job_count(), 0, "a refused request holds nothing");
+}
+
+#[test]
+fn memory_is_given_out_once() {
+    let mut scheduler = scheduler(1);
+    let big = work(200_000, 10_000, 0);
+    placed(scheduler.place(0, job(1), &big));
+    assert!(matches!(scheduler.place(0, job(2), &big), Decision::Refused { .. }));
+    scheduler.finish(10, job(1), Outcome::Done);
+    placed(scheduler.place(20, job(3), &big));
+}
+
+#[test]
+fn an_excluded_or_failed_engine_gets_nothing() {
+    let mut scheduler = scheduler(2);
+    let first = placed(scheduler.place(0, job(1), &work(3_000, 300, 250))).engine;
+    scheduler.finish(5, job(1), Outcome::Failed);
+    let again = placed(scheduler.place(10, job(2), &work(3_000, 300, 250))).engine;
+    assert_ne!(first, again, "a failed engine is suspended");
+    let excluded = Work { excluded: vec![again], ..work(3_000, 300, 250) };
+    assert!(matches!(scheduler.place(20, job(3), &excluded), Decision::Refused { .. }));
+    placed(scheduler.place(400, job(4), &excluded));
+}
+
+#[test]
+fn a_cold_engine_gets_no_more_than_its_share_within_any_second() {
+    let mut scheduler = Scheduler::new(SchedulerSettings::default());
+    let cold = ColdLimit { duration_ms: 3_000, requests_per_s: 10.0 };
+    let info = EngineInfo { cold_left_ms: 3_000, ..engines(1)[0].clone() };
+    scheduler.set_engines(0, &"pool".into(), &terms(), Some(cold), std::slice::from_ref(&info));
+    scheduler.set_start_shares(0.5, 0.5);
+    let mut starts = Vec::new();
+    for now_ms in (0..2_500).step_by(20) {
+        if let Decision::Placed(_) = scheduler.place(now_ms, job(now_ms), &work(100, 300, 250)) {
+            scheduler.first_event(job(now_ms));
+            scheduler.finish(now_ms, job(now_ms), Outcome::Done);
+            starts.push(now_ms);
+        }
+    }
+    assert!(starts.len() >= 10, "it is used");
+    for &begin in &starts {
+        let within = starts.iter().filter(|&&at| at >= begin && at < begin + 1_000).count();
+        assert!(within <= 5, "{within} requests in the second from {begin}");
+    }
+}
+
+#[test]
+fn what_a_gateway_no_longer_lists_is_forgotten_and_what_is_unknown_is_asked_for() {
+    let mut scheduler = scheduler(3);
+    placed(scheduler.place(0, job(1), &work(3_000, 300, 250)));
+    placed(scheduler.place(0, job(2), &work(3_000, 300, 250)));
+    // Number 2 was placed after the gateway made its list.
+    assert_eq!(scheduler.retain_jobs(1, 1, &[7]), [7]);
+    assert!(!scheduler.knows(job(1)));
+    assert!(scheduler.knows(job(2)));
+    let told = ActiveJob {
+        number: 7,
+        work: work(3_000, 300, 250),
+        engine: "e00".into(),
+        helpers: Vec::new(),
+        is_writing: true,
+    };
+    scheduler.tell(10, 1, &told);
+    assert_eq!(scheduler.retain_jobs(1, 7, &[2, 7]), Vec::<u64>::new());
+    scheduler.keep_gateways(&HashSet::from([2]));
+    assert_eq!(scheduler.job_count(), 0);
+    assert!(!scheduler.knows(JobId { gateway: 1, number: 7 }));
+}
