Go on with a silent engine until another one has taken its stream over

The silent engine is now kept until another one has begun, and each send counts once. Ruled out: the change of the configuration itself (the cut stream was 1.8 s old and its engine had just fallen silent).

--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mulberry_http1::{Http1Connection, RequestHead, ResponseHead, encode_chunk};
+use mulberry_http1::{Http1Connection, ReadError, RequestHead, ResponseHead, encode_chunk};
 use mulberry_routes::{Denied, Route, RouteKind, RouteTable, Service, Target};
 use mulberry_scheduler::{Decision, Outcome, Work};
 use rand::Rng as _;
@@ -286,10 +286,10 @@
     }
 
     async fn run(&mut self, client: &mut Http1Connection, keeps_alive: bool) -> Next {
-        let mut relay = EventRelay::new(self.fields.last_event);
+        let relay = EventRelay::new(self.fields.last_event);
         let obtained = tokio::select! {
             biased;
-            obtained = self.obtain(&mut relay) => Some(obtained),
+            obtained = self.obtain(&relay) => Some(obtained),
             () = client.wait_closed() => None,
         };
         match obtained {
@@ -316,7 +316,7 @@
     }
 
     /// Sends the request to targets until one answers or nothing more may be tried.
-    async fn obtain(&mut self, relay: &mut EventRelay) -> Obtained {
+    async fn obtain(&mut self, relay: &EventRelay) -> Obtained {
         loop {
             if Instant::now() >= self.deadline {
                 return self.give_up_late();
@@ -356,6 +356,9 @@
         };
         let sent = timeout_at(chosen.patience, attempt.send(&shared)).await;
         let sent = sent.unwrap_or_else(|_| Err(SendError::Unknown("no answer in time".to_owned())));
+        if !matches!(sent, Err(SendError::NotSent(_))) {
+            self.sends += 1;
+        }
         let answer = match sent {
             Ok(answer) => answer,
             Err(error) => {
@@ -363,7 +366,6 @@
                 return None;
             }
         };
-        self.sends += 1;
         let is_success = (200..300).contains(&answer.head.status);
         let is_stream = is_success && self.route.kind.is_stream();
         let result = if is_stream {
@@ -374,7 +376,6 @@
         match result {
             Ok(obtained) => obtained,
             Err((reason, job)) => {
-                self.sends -= 1;
                 self.failed(&SendError::Unknown(reason), &target_id, job);
                 None
             }
@@ -495,6 +496,15 @@
                     self.end("cut", 200);
                     return Next::Close;
                 }
+                Ended::Overtaken(next) => {
+                    drop((answer, loan, running));
+                    relay.drop_partial();
+                    let reason = format!("no event for {} ms", gap.as_millis());
+                    self.failed(&SendError::Unknown(reason), &target_id, job);
+                    self.log_resumed(&next, &relay);
+                    live = *next;
+                    continue;
+                }
                 Ended::Broken(reason) => {
                     drop((answer, loan, running));
                     relay.drop_partial();
@@ -504,7 +514,7 @@
             let resumed = if self.route.kind == RouteKind::ResumableStream && self.may_try_again() {
                 tokio::select! {
                     biased;
-                    obtained = self.obtain(&mut relay) => obtained,
+                    obtained = self.obtain(&relay) => obtained,
                     () = client.wait_closed() => {
                         self.end("left", 200);
                         return Next::Close;
@@ -515,12 +525,7 @@
             };
             match resumed {
                 Obtained::Stream(next) => {
-                    tracing::info!(
-                        event = "stream_resumed",
-                        request_id = self.request_id(),
-                        target_id = %next.target_id,
-                        after_event = relay.last_event().unwrap_or(0)
-                    );
+                    self.log_resumed(&next, &relay);
                     live = *next;
                 }
                 Obtained::Whole { .. } | Obtained::GivenUp(_) if head.is_none() => {
@@ -541,6 +546,15 @@
         }
     }
 
+    fn log_resumed(&self, next: &LiveStream, relay: &EventRelay) {
+        tracing::info!(
+            event = "stream_resumed",
+            request_id = self.request_id(),
+            target_id = %next.target_id,
+            after_event = relay.last_event().unwrap_or(0)
+        );
+    }
+
     /// Passes on what one engine sends.
     async fn relay_one(
         &mut self,
@@ -574,21 +588,48 @@
             if let Err(error) = pushed {
                 return Ended::Broken(error.to_string());
             }
+            bytes = match self.next_bytes(client, live, relay, gap).await {
+                Ok(bytes) => bytes,
+                Err(ended) => return ended,
+            };
+        }
+    }
+
+    /// The next bytes of an engine's stream. When the engine is silent for longer than `gap`, another one is asked to go
+    /// on, and the first of the two that says something is heard.
+    async fn next_bytes(
+        &mut self,
+        client: &mut Http1Connection,
+        live: &mut LiveStream,
+        relay: &EventRelay,
+        gap: Duration,
+    ) -> Result<Option<Vec<u8>>, Ended> {
+        let broken = |error: ReadError| Ended::Broken(error.to_string());
+        loop {
             let silent_at = Instant::now() + gap;
-            bytes = tokio::select! {
+            tokio::select! {
                 biased;
-                read = live.answer.next() => match read {
-                    Ok(bytes) => bytes,
-                    Err(error) => return Ended::Broken(error.to_string()),
+                read = live.answer.next() => return read.map_err(broken),
+                () = client.wait_closed() => return Err(Ended::ClientLeft),
+                () = sleep_until(silent_at.min(self.deadline)) => {}
+            }
+            if Instant::now() >= self.deadline {
+                return Err(Ended::OutOfTime);
+            }
+            if self.route.kind != RouteKind::ResumableStream || !self.may_try_again() {
+                continue;
+            }
+            self.excluded.push(live.target_id.clone());
+            let deadline = self.deadline;
+            tokio::select! {
+                biased;
+                read = live.answer.next() => return read.map_err(broken),
+                () = client.wait_closed() => return Err(Ended::ClientLeft),
+                () = sleep_until(deadline) => return Err(Ended::OutOfTime),
+                obtained = self.obtain(relay) => if let Obtained::Stream(next) = obtained {
+                    return Err(Ended::Overtaken(next));
                 },
-                () = client.wait_closed() => return Ended::ClientLeft,
-                () = sleep_until(silent_at.min(self.deadline)) => {
-                    if Instant::now() >= self.deadline {
-                        return Ended::OutOfTime;
-                    }
-                    return Ended::Broken(format!("no event for {} ms", gap.as_millis()));
-                }
-            };
+            }
         }
     }
 
@@ -765,7 +806,6 @@
                 Outcome::Failed
             }
             SendError::NotRun { fields, status } => {
-                self.sends += 1;
                 if let Some(cold_ms) = fields.cold_ms {
                     self.shared.fleet.borrow_mut().set_cold(now_ms, target_id, cold_ms);
                 }
@@ -775,7 +815,6 @@
                 Outcome::Rejected
             }
             SendError::Unknown(_) => {
-                self.sends += 1;
                 self.may_have_run = true;
                 self.shared.health.borrow_mut().failed(now_ms, target_id);
                 Outcome::Failed
@@ -914,6 +953,10 @@
     Complete,
     ClientLeft,
     OutOfTime,
+
+    /// The engine is silent and another one goes on.
+    Overtaken(Box<LiveStream>),
+
     Broken(String),
 }
 
