--- a/crates/mulberry-gateway/src/caller_server.rs
+++ b/crates/mulberry-gateway/src/caller_server.rs
@@ -39,7 +39,10 @@
                 tokio::task::spawn_local(serve_connection(stream, shared.clone()));
             }
             Ok(_) => {
-                tracing::warn!(event = "connection_refused", connections = shared.connections.get());
+                tracing::warn!(
+                    event = "connection_refused",
+                    connections = shared.connections.get()
+                );
             }
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error);
--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -12,13 +12,13 @@
 use rand::Rng as _;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use crate::{EventRelay, RetryBudget};
 use crate::attempt::{Answer, Attempt, SendError};
 use crate::dialect::{CallerFields, ForwardFields};
 use crate::loans::{Lender, Loan};
 use crate::metrics::{AttemptLabels, LengthLabels, RequestLabels, prompt_class};
 use crate::placement::{PlacedJob, Placer};
 use crate::shared::Shared;
+use crate::{EventRelay, RetryBudget};
 
 /// Sends that reached no target and may be made beyond the attempts of the route.
 const MAX_UNSENT: u32 = 3;
@@ -860,8 +860,7 @@
     }
 
     fn take_budget(&self) -> bool {
-        self.shared
-            .with_budget(&self.service, RetryBudget::take)
+        self.shared.with_budget(&self.service, RetryBudget::take)
     }
 
     fn give_up_late(&mut self) -> Obtained {
--- /dev/null
+++ b/crates/mulberry-gateway/tests/common/mod.rs
@@ -0,0 +1,541 @@
+//! A registry, a gateway and targets that do as they are told, on loopback.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use mulberry_directory::{TargetRecord, TargetState};
+use mulberry_gateway::{
+    AnswerFields, CallerFields, Dialect, ForwardFields, Gateway, GatewaySettings, TargetCall,
+};
+use mulberry_http1::{Headers, ResponseHead};
+use mulberry_registry::{BadCall, PublicCall, PublicProtocol, Registry, RegistrySettings};
+use mulberry_routes::{
+    Backend, EngineTerms, RequestLimits, Route, RouteKind, RoutingConfig, Service, Tenant,
+};
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::oneshot;
+
+/// Time for something to happen on a busy machine.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Headers with plain names.
+#[derive(Debug)]
+struct PlainDialect;
+
+impl Dialect for PlainDialect {
+    fn caller_fields(&self, headers: &Headers) -> CallerFields {
+        let number = |name| headers.text(name).and_then(|value| value.parse().ok());
+        CallerFields {
+            request_id: headers.text("request-id").map(Into::into),
+            deadline_ms: number("deadline-ms"),
+            api_key: headers.text("key").map(Into::into),
+            prompt_tokens: number("prompt-tokens").unwrap_or(0),
+            answer_tokens: 100,
+            last_event: number("last-event-id"),
+        }
+    }
+
+    fn forward(&self, headers: &mut Headers, fields: &ForwardFields<'_>) {
+        headers.remove("key");
+        headers.set("target", fields.target_id.as_bytes());
+        headers.set("tenant", fields.tenant.unwrap_or("-").as_bytes());
+        if let Some(left) = fields.deadline_ms {
+            headers.set("deadline-ms", left.to_string().as_bytes());
+        }
+        if let Some(last) = fields.last_event {
+            headers.set("last-event-id", last.to_string().as_bytes());
+        }
+    }
+
+    fn answer_fields(&self, head: &ResponseHead) -> AnswerFields {
+        AnswerFields {
+            request_id: head.headers.text("request-id").map(Into::into),
+            is_not_run: head.headers.get("not-run").is_some(),
+            is_signed: head.headers.get("signed").is_some(),
+            at_fault: None,
+            cold_ms: None,
+        }
+    }
+
+    fn is_ready_call(&self, method: &str, path: &str) -> bool {
+        method == "GET" && path == "/ready"
+    }
+
+    fn reserve(&self, _target_id: &str, ticket: &str, _tokens: u64, _hold_ms: u64) -> TargetCall {
+        self.release("", ticket)
+    }
+
+    fn release(&self, _target_id: &str, ticket: &str) -> TargetCall {
+        TargetCall {
+            method: "POST",
+            path: format!("/ticket/{ticket}"),
+            headers: Vec::new(),
+            body: Vec::new(),
+        }
+    }
+}
+
+/// Takes what the test hands over, by a number in the body.
+#[derive(Debug)]
+struct HandOver(Arc<Mutex<Vec<PublicCall>>>);
+
+impl PublicProtocol for HandOver {
+    fn decode(&self, _method: &str, _path: &str, body: Vec<u8>) -> Result<PublicCall, BadCall> {
+        let index: usize = String::from_utf8_lossy(&body).parse().expect("a number");
+        Ok(self.0.lock().expect("not poisoned")[index].clone())
+    }
+
+    fn media_type(&self) -> &'static str {
+        "text/plain"
+    }
+
+    fn accepted(&self) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn problem(&self, reason: &str) -> Vec<u8> {
+        reason.as_bytes().to_vec()
+    }
+}
+
+struct Running {
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Running {
+    fn start<F: Future<Output = ()>>(
+        run: impl FnOnce(oneshot::Receiver<()>) -> F + Send + 'static,
+    ) -> Running {
+        let (stop, stopped) = oneshot::channel();
+        let thread = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            runtime.expect("a runtime").block_on(run(stopped));
+        });
+        Running { stop: Some(stop), thread: Some(thread) }
+    }
+
+    fn signal(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.signal();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// One registry and one gateway.
+pub struct Fleet {
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    registry_address: SocketAddr,
+    calls: Arc<Mutex<Vec<PublicCall>>>,
+    gateway: Running,
+    _registry: Running,
+    folder: PathBuf,
+}
+
+pub fn route(prefix: &str, kind: RouteKind) -> Route {
+    Route {
+        name: prefix.into(),
+        host: "h".into(),
+        path_prefix: prefix.into(),
+        kind,
+        time_limit_ms: 3_000,
+        aim_ms: 200,
+        max_pause_ms: 0,
+        priority: 1,
+        max_attempts: 2,
+        is_public: false,
+        backends: vec![Backend { service: "s".into(), weight: 1 }],
+    }
+}
+
+pub fn config(version: u64) -> RoutingConfig {
+    RoutingConfig {
+        version,
+        routes: vec![
+            route("/safe/", RouteKind::Safe),
+            route("/once/", RouteKind::Unsafe),
+            Route { max_pause_ms: 100, ..route("/stream/", RouteKind::ResumableStream) },
+        ],
+        services: vec![Service {
+            name: "s".into(),
+            health_path: "/".into(),
+            max_connections: 100,
+            cold: None,
+            engine: None,
+        }],
+        tenants: vec![Tenant { name: "t".into(), api_keys: vec!["k".into()], priority: None }],
+        limits: RequestLimits { max_body_bytes: 10_000, ..RequestLimits::default() },
+    }
+}
+
+/// The same with model engines behind the service.
+pub fn engine_config(version: u64) -> RoutingConfig {
+    let mut config = config(version);
+    config.services[0].engine = Some(EngineTerms {
+        slots: 8,
+        memory_tokens: 100_000,
+        step_ms: 1.0,
+        read_tokens_per_ms: 100.0,
+        chunk_tokens: 2_000,
+        steps_per_pass: 10,
+        ..EngineTerms::default()
+    });
+    config
+}
+
+impl Fleet {
+    pub fn start(name: &str) -> Fleet {
+        let free = || {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+            listener.local_addr().expect("bound")
+        };
+        let folder =
+            std::env::temp_dir().join(format!("mulberry-gateway-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        let (public, link) = (free(), free());
+        let calls: Arc<Mutex<Vec<PublicCall>>> = Arc::default();
+        let settings = RegistrySettings {
+            name: "registry".to_owned(),
+            public_address: public,
+            link_address: link,
+            seeds: vec![link],
+            bootstrap: true,
+            data_folder: folder.clone(),
+            ..RegistrySettings::default()
+        };
+        let handed = calls.clone();
+        let registry = Running::start(move |stopped| async move {
+            let (_seeds, changed) = unbounded_channel();
+            let registry = Registry::new(settings, Rc::new(HandOver(handed)));
+            let stop = async {
+                let _ = stopped.await;
+            };
+            registry.run(stop, changed).await.expect("runs");
+        });
+        let (callers, ready) = (free(), free());
+        let settings = GatewaySettings {
+            caller_address: callers,
+            ready_address: ready,
+            gateway_address: free(),
+            seeds: vec![link],
+            stop_ms: 5_000,
+            ..GatewaySettings::default()
+        };
+        let gateway = Running::start(move |stopped| async move {
+            let (_seeds, changed) = unbounded_channel();
+            let stop = async {
+                let _ = stopped.await;
+            };
+            let gateway = Gateway::new(settings, Rc::new(PlainDialect));
+            gateway.run(stop, changed).await.expect("runs");
+        });
+        Fleet {
+            callers,
+            ready,
+            registry_address: public,
+            calls,
+            gateway,
+            _registry: registry,
+            folder,
+        }
+    }
+
+    /// Starts with a configuration and targets, and waits until the gateway is ready.
+    pub fn ready(name: &str, config: RoutingConfig, targets: &[&Target]) -> Fleet {
+        let fleet = Fleet::start(name);
+        for target in targets {
+            fleet.announce(target, TargetState::Ready, 1);
+        }
+        fleet.configure(config);
+        fleet.wait_ready();
+        // The targets were told before the configuration.
+        fleet
+    }
+
+    pub fn wait_ready(&self) {
+        until("the gateway is ready", || {
+            exchange(self.ready, "GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n").status == 200
+        });
+    }
+
+    pub fn configure(&self, config: RoutingConfig) {
+        self.call(PublicCall::Configure { config: Box::new(config), document: Vec::new() });
+    }
+
+    pub fn announce(&self, target: &Target, state: TargetState, sequence: u64) {
+        self.call(PublicCall::Announce(TargetRecord {
+            id: target.id.into(),
+            born_ms: 1,
+            sequence,
+            service: "s".into(),
+            address: target.address,
+            zone: "z".into(),
+            slots: 8,
+            state,
+            cold_left_ms: 0,
+        }));
+    }
+
+    /// Hands a call to the registry and waits until it is accepted.
+    pub fn call(&self, call: PublicCall) {
+        let index = {
+            let mut calls = self.calls.lock().expect("not poisoned");
+            calls.push(call);
+            calls.len() - 1
+        };
+        let body = index.to_string();
+        let request = format!(
+            "PUT / HTTP/1.1\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        until("the registry accepts", || exchange(self.registry_address, &request).status == 200);
+    }
+
+    /// Tells the gateway to stop; it ends with the fleet.
+    pub fn stop_gateway(&mut self) {
+        self.gateway.signal();
+    }
+
+    pub fn get(&self, path: &str, fields: &str) -> Reply {
+        exchange(self.callers, &request("GET", path, fields, ""))
+    }
+
+    pub fn post(&self, path: &str, fields: &str, body: &str) -> Reply {
+        exchange(self.callers, &request("POST", path, fields, body))
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub fn request(method: &str, path: &str, fields: &str, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: h\r\nKey: k\r\nRequest-Id: r1\r\nConnection: close\r\n{fields}\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Reply {
+    pub status: u16,
+    pub head: String,
+
+    /// Body without chunk framing, as far as it came.
+    pub body: String,
+
+    /// Whether the body ended as its framing says.
+    pub is_whole: bool,
+}
+
+/// Sends bytes and reads until the connection ends.
+pub fn exchange(address: SocketAddr, request: &str) -> Reply {
+    let Ok(mut stream) = TcpStream::connect(address) else { return Reply::default() };
+    if stream.write_all(request.as_bytes()).is_err() {
+        return Reply::default();
+    }
+    read_reply(&mut stream)
+}
+
+pub fn read_reply(stream: &mut TcpStream) -> Reply {
+    stream.set_read_timeout(Some(PATIENCE)).expect("a valid timeout");
+    let mut text = Vec::new();
+    let _ = stream.read_to_end(&mut text);
+    let text = String::from_utf8_lossy(&text).into_owned();
+    let Some((head, rest)) = text.split_once("\r\n\r\n") else { return Reply::default() };
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+    let lower = head.to_ascii_lowercase();
+    let (body, is_whole) = if lower.contains("transfer-encoding: chunked") {
+        let mut body = String::new();
+        let mut left = rest;
+        let mut is_whole = false;
+        while let Some((size, after)) = left.split_once("\r\n") {
+            let size = usize::from_str_radix(size, 16).unwrap_or(0);
+            if size == 0 {
+                is_whole = true;
+                break;
+            }
+            let Some(chunk) = after.get(..size) else { break };
+            body.push_str(chunk);
+            left = after.get(size + 2..).unwrap_or_default();
+        }
+        (body, is_whole)
+    } else {
+        let length = lower
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length: "))
+            .and_then(|length| length.trim().parse::<usize>().ok());
+        (rest.to_owned(), length == Some(rest.len()))
+    };
+    Reply { status, head: head.to_owned(), body, is_whole }
+}
+
+/// Waits until something holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begin = Instant::now();
+    while !holds() {
+        assert!(begin.elapsed() < PATIENCE, "not within {PATIENCE:?}: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// What a target does with one request.
+#[derive(Debug, Clone)]
+pub enum Act {
+    /// Sends these bytes; `{id}` is the id of the request. Keeps the connection.
+    Send(String),
+
+    /// Sends these bytes and closes.
+    SendAndClose(String),
+
+    /// Sends these bytes and closes after a time.
+    SendAndCloseAfter(String, Duration),
+
+    /// Sends these bytes and stays silent until the caller has gone.
+    SendAndHang(String),
+}
+
+/// A target that acts by a list, and then by its last act for good.
+pub struct Target {
+    pub id: &'static str,
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<String>>>,
+    closed: Arc<Mutex<usize>>,
+    _listener: Arc<TcpListener>,
+}
+
+impl Target {
+    pub fn start(id: &'static str, acts: Vec<Act>) -> Target {
+        let listener = Arc::new(TcpListener::bind("127.0.0.1:0").expect("binds"));
+        let address = listener.local_addr().expect("bound");
+        let seen: Arc<Mutex<Vec<String>>> = Arc::default();
+        let closed: Arc<Mutex<usize>> = Arc::default();
+        let acts = Arc::new(Mutex::new(acts));
+        let (accepting, all_seen, all_closed) = (listener.clone(), seen.clone(), closed.clone());
+        std::thread::spawn(move || {
+            while let Ok((stream, _)) = accepting.accept() {
+                let (acts, seen, closed) = (acts.clone(), all_seen.clone(), all_closed.clone());
+                std::thread::spawn(move || {
+                    serve(stream, &acts, &seen);
+                    *closed.lock().expect("not poisoned") += 1;
+                });
+            }
+        });
+        Target { id, address, seen, closed, _listener: listener }
+    }
+
+    /// Heads and bodies of the requests that came.
+    pub fn seen(&self) -> Vec<String> {
+        self.seen.lock().expect("not poisoned").clone()
+    }
+
+    /// Connections that have ended.
+    pub fn closed(&self) -> usize {
+        *self.closed.lock().expect("not poisoned")
+    }
+}
+
+fn serve(mut stream: TcpStream, acts: &Mutex<Vec<Act>>, seen: &Mutex<Vec<String>>) {
+    let mut input = Vec::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        let text = String::from_utf8_lossy(&input).into_owned();
+        let whole = text.split_once("\r\n\r\n").and_then(|(head, body)| {
+            let length = head
+                .to_ascii_lowercase()
+                .lines()
+                .find_map(|line| line.strip_prefix("content-length: ").map(str::to_owned))
+                .and_then(|length| length.parse::<usize>().ok())
+                .unwrap_or(0);
+            (body.len() >= length).then_some(head.len() + 4 + length)
+        });
+        let Some(end) = whole else {
+            match stream.read(&mut buffer) {
+                Ok(0) | Err(_) => return,
+                Ok(count) => input.extend_from_slice(&buffer[..count]),
+            }
+            continue;
+        };
+        input.drain(..end);
+        let id = text
+            .lines()
+            .find_map(|line| line.strip_prefix("Request-Id: "))
+            .unwrap_or_default()
+            .to_owned();
+        seen.lock().expect("not poisoned").push(text);
+        let act = {
+            let mut acts = acts.lock().expect("not poisoned");
+            if acts.len() > 1 { acts.remove(0) } else { acts[0].clone() }
+        };
+        let (Act::Send(answer)
+        | Act::SendAndClose(answer)
+        | Act::SendAndCloseAfter(answer, _)
+        | Act::SendAndHang(answer)) = &act;
+        if stream.write_all(answer.replace("{id}", &id).as_bytes()).is_err() {
+            return;
+        }
+        match act {
+            Act::Send(_) => {}
+            Act::SendAndClose(_) => return,
+            Act::SendAndCloseAfter(_, time) => {
+                std::thread::sleep(time);
+                return;
+            }
+            Act::SendAndHang(_) => {
+                while matches!(stream.read(&mut buffer), Ok(count) if count > 0) {}
+                return;
+            }
+        }
+    }
+}
+
+/// A whole answer with a length.
+pub fn answer(status: u16, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} S\r\nRequest-Id: {{id}}\r\nSigned: yes\r\nKeep-Alive: timeout=5\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// An answer that says that the request was not run.
+pub fn not_run(status: u16) -> String {
+    format!("HTTP/1.1 {status} S\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+/// The head of a stream.
+pub fn stream_head() -> String {
+    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nSigned: yes\r\nContent-Type: text/event-stream\r\n\
+     Transfer-Encoding: chunked\r\n\r\n"
+        .to_owned()
+}
+
+/// Chunks with one event each.
+pub fn events(numbers: impl IntoIterator<Item = u64>) -> String {
+    let chunk = |number| {
+        let event = format!("id: {number}\ndata: part {number}\n\n");
+        format!("{:x}\r\n{event}\r\n", event.len())
+    };
+    numbers.into_iter().map(chunk).collect()
+}
--- /dev/null
+++ b/crates/mulberry-gateway/tests/decisions.rs
@@ -0,0 +1,167 @@
+//! What is decided without a socket.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use mulberry_directory::{GatewayInfo, TargetRecord, TargetState};
+use mulberry_gateway::{
+    EventRelay, FleetView, RelayError, RetryBudget, RetrySettings, TargetHealth,
+};
+use proptest::prelude::*;
+
+fn record(id: &str, zone: &str, sequence: u64, state: TargetState) -> TargetRecord {
+    TargetRecord {
+        id: id.into(),
+        born_ms: 1,
+        sequence,
+        service: "s".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: zone.into(),
+        slots: 4,
+        state,
+        cold_left_ms: 500,
+    }
+}
+
+#[test]
+fn the_budget_of_all_gateways_together_is_kept_in_every_window() {
+    const GATEWAYS: usize = 8;
+    let settings = RetrySettings { window_ms: 10_000, ratio: 0.2, slack: 104.0 };
+    let mut budgets: Vec<RetryBudget> = (0..GATEWAYS).map(|_| RetryBudget::new(settings)).collect();
+    let mut requests = Vec::new();
+    let mut further = Vec::new();
+    for now_ms in (0..60_000).step_by(10) {
+        for budget in &mut budgets {
+            // Half of the time hardly any requests come, and all want to be repeated.
+            if now_ms % 100 == 0 && (now_ms / 10_000) % 2 == 0 {
+                budget.request(now_ms);
+                requests.push(now_ms);
+            }
+            if budget.take(now_ms, GATEWAYS) {
+                further.push(now_ms);
+            }
+        }
+    }
+    assert!(!further.is_empty());
+    for end in (10_000..60_000).step_by(500) {
+        let within = |times: &[u64], from: u64| {
+            times.iter().filter(|&&at| at >= from && at < from + 10_000).count()
+        };
+        let begin: u64 = end - 10_000;
+        let most = [begin, begin.saturating_sub(5_000), begin.saturating_sub(10_000)]
+            .map(|from| within(&requests, from));
+        let most = most.into_iter().max().unwrap_or(0) as f64;
+        let used = within(&further, begin) as f64;
+        assert!(
+            used <= 0.2 * most + 104.0,
+            "{used} further sends from {begin} ms, {most} requests"
+        );
+    }
+}
+
+#[test]
+fn silence_counts_when_every_linked_registry_misses_the_target() {
+    let mut fleet = FleetView::default();
+    let registry = |last: u8| SocketAddr::from(([10, 0, 0, last], 1));
+    let missing: Vec<Arc<str>> = vec!["e".into()];
+    fleet.set_silent(100, registry(1), missing.clone());
+    assert_eq!(fleet.silent_since_ms("e"), Some(100));
+    fleet.set_silent(200, registry(2), Vec::new());
+    assert_eq!(fleet.silent_since_ms("e"), None, "one registry still hears it");
+    fleet.registry_lost(300, registry(2));
+    assert_eq!(fleet.silent_since_ms("e"), Some(300));
+    fleet.registry_lost(400, registry(1));
+    assert_eq!(fleet.silent_since_ms("e"), None, "nobody says anything of it");
+}
+
+#[test]
+fn zones_and_states_decide_who_may_be_used() {
+    let mut fleet = FleetView::default();
+    let records = vec![
+        record("a", "z1", 1, TargetState::Ready),
+        record("b", "z2", 1, TargetState::Ready),
+        record("c", "z1", 1, TargetState::Draining),
+    ];
+    assert!(fleet.observe(1_000, records));
+    let usable = |fleet: &FleetView| -> Vec<String> {
+        fleet.usable("s").map(|record| record.id.to_string()).collect()
+    };
+    assert_eq!(usable(&fleet), ["a", "b"]);
+    assert!(fleet.set_evacuated(5, vec!["z1".into()]));
+    assert!(!fleet.set_evacuated(4, Vec::new()), "an older list does not count");
+    assert_eq!(usable(&fleet), ["b"]);
+    assert!(!fleet.is_usable("a") && fleet.is_present("a"));
+    assert_eq!(fleet.cold_left_ms(1_200, "b"), 300);
+    assert!(fleet.observe(1_300, vec![record("b", "z2", 0, TargetState::Gone)]));
+    assert!(!fleet.is_present("b"));
+}
+
+#[test]
+fn a_share_of_a_common_limit_does_not_grow_when_gateways_are_out_of_sight() {
+    let mut fleet = FleetView::default();
+    let gateway = |name: &str| GatewayInfo {
+        name: name.into(),
+        incarnation: 1,
+        started_ms: 1,
+        address: ([10, 0, 0, 1], 1).into(),
+        takes_part: true,
+    };
+    fleet.set_gateways(vec![gateway("a"), gateway("b"), gateway("c")]);
+    fleet.set_gateways(vec![gateway("a")]);
+    assert_eq!(fleet.sharing_gateways(), 3);
+}
+
+#[test]
+fn a_failing_target_is_left_alone_for_longer_each_time() {
+    let mut health = TargetHealth::default();
+    let id: Arc<str> = "e".into();
+    health.failed(0, &id);
+    assert!(health.is_suspended(199, "e") && !health.is_suspended(200, "e"));
+    health.failed(1_000, &id);
+    assert!(health.is_suspended(1_399, "e"));
+    health.succeeded(2_000, "e");
+    health.failed(3_000, &id);
+    assert!(!health.is_suspended(3_200, "e"), "a success starts the count anew");
+    assert!(health.has_served_since(2_000, "e") && !health.has_served_since(2_001, "e"));
+}
+
+fn event(number: u64) -> String {
+    format!("id: {number}\ndata: x\n\n")
+}
+
+#[test]
+fn an_engine_that_goes_on_repeats_nothing_and_leaves_nothing_out() {
+    let mut relay = EventRelay::new(None);
+    let mut out = Vec::new();
+    relay.push(format!("{}{}id: 3\nda", event(1), event(2)).as_bytes(), &mut out).expect("whole");
+    assert!(relay.has_partial());
+    relay.drop_partial();
+    relay
+        .push(format!("{}{}{}", event(2), event(3), event(4)).as_bytes(), &mut out)
+        .expect("whole");
+    assert_eq!(String::from_utf8_lossy(&out), (1..=4).map(event).collect::<String>());
+    let gap = relay.push(event(6).as_bytes(), &mut out);
+    assert_eq!(gap, Err(RelayError::Gap { after: 4, got: 6 }));
+    assert_eq!(relay.last_event(), Some(4));
+}
+
+proptest! {
+    #[test]
+    fn whole_events_pass_however_the_bytes_are_cut(count in 1u64..12, cuts in prop::collection::vec(1usize..40, 0..20)) {
+        let text: String = (1..=count).map(event).collect();
+        let mut relay = EventRelay::new(None);
+        let mut out = Vec::new();
+        let mut left = text.as_bytes();
+        for cut in cuts {
+            let (now, later) = left.split_at(cut.min(left.len()));
+            relay.push(now, &mut out).expect("in order");
+            prop_assert!(text.as_bytes().starts_with(&out));
+            prop_assert!(out.is_empty() || out.ends_with(b"\n\n"), "only whole events pass");
+            left = later;
+        }
+        relay.push(left, &mut out).expect("in order");
+        prop_assert_eq!(out, text.as_bytes());
+        prop_assert!(!relay.has_partial());
+        prop_assert_eq!(relay.events(), count);
+    }
+}
--- /dev/null
+++ b/crates/mulberry-gateway/tests/forwarding.rs
@@ -0,0 +1,269 @@
+//! Requests from a caller through the gateway to targets and back.
+
+mod common;
+
+use std::io::Write as _;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use common::{
+    Act, Fleet, Target, answer, config, engine_config, events, exchange, not_run, read_reply,
+    request, stream_head, until,
+};
+use mulberry_directory::TargetState;
+use mulberry_registry::PublicCall;
+
+fn good(id: &'static str) -> Target {
+    Target::start(id, vec![Act::Send(answer(200, id))])
+}
+
+#[test]
+fn a_request_reaches_its_target_unchanged_but_for_what_the_gateway_sets() {
+    let target = good("one");
+    let fleet = Fleet::ready("unchanged", config(1), &[&target]);
+    let reply = fleet.post("/once/a%20b?c=d", "X-Own: kept\r\nTenant: forged\r\nTE: x\r\n", "body");
+    assert_eq!((reply.status, reply.body.as_str(), reply.is_whole), (200, "one", true));
+    let seen = target.seen().remove(0);
+    assert!(seen.starts_with("POST /once/a%20b?c=d HTTP/1.1\r\n"), "{seen}");
+    for kept in
+        ["Host: h\r\n", "X-Own: kept\r\n", "tenant: t\r\n", "target: one\r\n", "\r\n\r\nbody"]
+    {
+        assert!(seen.contains(kept), "{kept:?} is missing in {seen}");
+    }
+    for removed in ["Key:", "forged", "TE:", "Connection:"] {
+        assert!(!seen.contains(removed), "{removed:?} is left in {seen}");
+    }
+}
+
+#[test]
+fn what_no_configuration_allows_is_refused_without_a_target() {
+    let target = good("one");
+    let fleet = Fleet::ready("refused", config(1), &[&target]);
+    assert_eq!(fleet.get("/nowhere/", "").status, 404);
+    let no_key = "GET /safe/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    assert_eq!(exchange(fleet.callers, no_key).status, 401);
+    assert_eq!(fleet.post("/once/", "", &"x".repeat(10_001)).status, 413);
+    let long = format!("X-Long: {}\r\n", "x".repeat(20_000));
+    assert_eq!(fleet.get("/safe/", &long).status, 431);
+    assert_eq!(fleet.get("/safe/", "Content-Length: 7\r\n").status, 400);
+    assert_eq!(exchange(fleet.callers, "no request\r\n\r\n").status, 400);
+    assert_eq!(target.seen().len(), 0);
+}
+
+#[test]
+fn only_what_may_be_repeated_is_sent_again_after_an_unknown_end() {
+    let cut = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nSigned: yes\r\nContent-Length: 9\r\n\r\nhalf";
+    let (one, two) = (
+        Target::start("one", vec![Act::SendAndClose(cut.to_owned())]),
+        Target::start("two", vec![Act::SendAndClose(cut.to_owned())]),
+    );
+    let fleet = Fleet::ready("once", config(1), &[&one, &two]);
+    let reply = fleet.post("/once/", "", "pay");
+    assert_eq!(reply.status, 502, "it may have run, so nothing is promised");
+    assert_eq!(one.seen().len() + two.seen().len(), 1);
+    let reply = fleet.get("/safe/", "");
+    assert_eq!(reply.status, 502);
+    assert_eq!(one.seen().len() + two.seen().len(), 3, "both were tried");
+}
+
+#[test]
+fn a_target_that_did_not_run_the_request_is_followed_by_another() {
+    let (full, free) = (Target::start("full", vec![Act::Send(not_run(503))]), good("free"));
+    let fleet = Fleet::ready("notrun", config(1), &[&full, &free]);
+    for _ in 0..6 {
+        assert_eq!(fleet.post("/once/", "", "pay").body, "free");
+    }
+    let alone = Target::start("alone", vec![Act::Send(not_run(503))]);
+    let fleet = Fleet::ready("allfull", config(1), &[&alone]);
+    let reply = fleet.post("/once/", "", "pay");
+    assert_eq!(reply.status, 503);
+    assert!(reply.head.contains("Retry-After: 0."), "{}", reply.head);
+}
+
+#[test]
+fn another_server_at_the_address_is_no_reason_to_fail() {
+    let (moved, right) = (Target::start("moved", vec![Act::Send(not_run(421))]), good("right"));
+    let fleet = Fleet::ready("moved", config(1), &[&moved, &right]);
+    for _ in 0..4 {
+        assert_eq!(fleet.post("/once/", "", "pay").body, "right");
+    }
+}
+
+#[test]
+fn an_answer_to_another_request_reaches_nobody() {
+    let foreign = answer(200, "foreign").replace("{id}", "r0");
+    let target = Target::start("one", vec![Act::Send(format!("{foreign}{}", answer(200, "own")))]);
+    let fleet = Fleet::ready("foreign", config(1), &[&target]);
+    for _ in 0..3 {
+        let reply = fleet.post("/once/", "", "pay");
+        assert_eq!((reply.status, reply.body.as_str()), (200, "own"));
+    }
+}
+
+#[test]
+fn a_connection_with_bytes_left_over_is_not_used_again() {
+    let target = Target::start(
+        "one",
+        vec![
+            Act::Send(format!("{}{}", answer(200, "first"), answer(200, "again"))),
+            Act::Send(answer(200, "second")),
+        ],
+    );
+    let fleet = Fleet::ready("leftover", config(1), &[&target]);
+    assert_eq!(fleet.get("/safe/", "").body, "first");
+    assert_eq!(fleet.get("/safe/", "").body, "second");
+}
+
+#[test]
+fn an_unsigned_success_is_no_answer() {
+    let bare = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 2\r\n\r\nno";
+    let (bad, ok) = (Target::start("bad", vec![Act::Send(bare.to_owned())]), good("ok"));
+    let fleet = Fleet::ready("unsigned", config(1), &[&bad, &ok]);
+    for _ in 0..4 {
+        assert_eq!(fleet.get("/safe/", "").body, "ok");
+    }
+}
+
+#[test]
+fn a_failure_of_a_target_is_passed_on_only_when_no_other_answers() {
+    let (bad, ok) = (Target::start("bad", vec![Act::Send(answer(500, "bad"))]), good("ok"));
+    let fleet = Fleet::ready("failure", config(1), &[&bad, &ok]);
+    for _ in 0..4 {
+        assert_eq!(fleet.get("/safe/", "").body, "ok");
+    }
+    let alone = Target::start("alone", vec![Act::Send(answer(503, "not a promise"))]);
+    let fleet = Fleet::ready("promise", config(1), &[&alone]);
+    assert_eq!(fleet.post("/once/", "", "pay").status, 502, "it ran: no promise that it did not");
+}
+
+#[test]
+fn a_broken_stream_goes_on_at_another_engine_as_one() {
+    let broken = format!("{}{}5\r\nid: ", stream_head(), events(1..=3));
+    // Long enough for the gateway to hear of the second engine.
+    let time = Duration::from_millis(1_000);
+    let first = Target::start("first", vec![Act::SendAndCloseAfter(broken, time)]);
+    let rest = format!("{}{}0\r\n\r\n", stream_head(), events(4..=6));
+    let second = Target::start("second", vec![Act::Send(rest)]);
+    let fleet = Fleet::ready("resume", engine_config(1), &[&first]);
+    let mut stream = TcpStream::connect(fleet.callers).expect("connects");
+    let request = request("POST", "/stream/", "Prompt-Tokens: 50\r\n", "p");
+    stream.write_all(request.as_bytes()).expect("sends");
+    until("the first engine has the request", || first.seen().len() == 1);
+    fleet.announce(&second, TargetState::Ready, 1);
+    let reply = read_reply(&mut stream);
+    let whole: String = (1..=6).map(|n| format!("id: {n}\ndata: part {n}\n\n")).collect();
+    assert_eq!((reply.body.as_str(), reply.is_whole), (whole.as_str(), true));
+    assert!(second.seen()[0].contains("last-event-id: 3\r\n"));
+}
+
+#[test]
+fn a_stream_that_cannot_go_on_does_not_look_complete() {
+    let broken = format!("{}{}", stream_head(), events(1..=2));
+    let only = Target::start("only", vec![Act::SendAndClose(broken)]);
+    let fleet = Fleet::ready("cut", engine_config(1), &[&only]);
+    let reply = fleet.post("/stream/", "Prompt-Tokens: 50\r\n", "p");
+    assert_eq!(reply.status, 200);
+    assert!(reply.body.ends_with("part 2\n\n") && !reply.is_whole, "{reply:?}");
+}
+
+#[test]
+fn a_silent_engine_is_kept_until_another_has_taken_over() {
+    let silent = format!("{}{}", stream_head(), events(1..=2));
+    let only = Target::start("only", vec![Act::SendAndHang(silent)]);
+    let fleet = Fleet::ready("silent", engine_config(1), &[&only]);
+    let begin = Instant::now();
+    let reply = fleet.post("/stream/", "Prompt-Tokens: 50\r\nDeadline-Ms: 2600\r\n", "p");
+    assert!(!reply.is_whole);
+    assert!(begin.elapsed() >= Duration::from_millis(2_500), "cut after {:?}", begin.elapsed());
+}
+
+#[test]
+fn a_request_is_answered_at_its_time_limit_and_targets_get_what_is_left() {
+    let silent = Target::start("silent", vec![Act::SendAndHang(String::new())]);
+    let fleet = Fleet::ready("limit", config(1), &[&silent]);
+    let begin = Instant::now();
+    assert_eq!(fleet.post("/once/", "Deadline-Ms: 700\r\n", "pay").status, 504);
+    let took = begin.elapsed();
+    assert!(took >= Duration::from_millis(650), "{took:?}");
+    assert!(took < Duration::from_millis(2_500), "not by the time limit of the route: {took:?}");
+    let seen = silent.seen().remove(0);
+    let left = seen.lines().find_map(|line| line.strip_prefix("deadline-ms: "));
+    let left: u64 = left.and_then(|left| left.parse().ok()).expect("a deadline");
+    assert!((300..=700).contains(&left), "{left}");
+}
+
+#[test]
+fn a_target_hears_that_its_caller_has_left() {
+    let silent = Target::start("silent", vec![Act::SendAndHang(String::new())]);
+    let fleet = Fleet::ready("left", config(1), &[&silent]);
+    let mut stream = TcpStream::connect(fleet.callers).expect("connects");
+    stream.write_all(request("POST", "/once/", "", "pay").as_bytes()).expect("sends");
+    until("the target has the request", || silent.seen().len() == 1);
+    drop(stream);
+    let begin = Instant::now();
+    until("the target's connection ends", || silent.closed() == 1);
+    assert!(begin.elapsed() < Duration::from_millis(2_500), "not by the time limit of the route");
+}
+
+#[test]
+fn a_leaving_target_and_an_evacuated_zone_get_nothing_new() {
+    let target = good("one");
+    let fleet = Fleet::ready("leaving", config(1), &[&target]);
+    assert_eq!(fleet.get("/safe/", "").status, 200);
+    fleet.announce(&target, TargetState::Draining, 2);
+    until("the gateway knows that it leaves", || {
+        fleet.get("/safe/", "Deadline-Ms: 200\r\n").status == 503
+    });
+    fleet.announce(&target, TargetState::Ready, 3);
+    until("it is back", || fleet.get("/safe/", "").status == 200);
+    fleet.call(PublicCall::Evacuate { zone: "z".into() });
+    until("the zone is out", || fleet.get("/safe/", "Deadline-Ms: 200\r\n").status == 503);
+    let before = target.seen().len();
+    assert_eq!(fleet.get("/safe/", "Deadline-Ms: 200\r\n").status, 503);
+    assert_eq!(target.seen().len(), before);
+    fleet.call(PublicCall::Restore { zone: "z".into() });
+    until("the zone is back", || fleet.get("/safe/", "").status == 200);
+}
+
+#[test]
+fn the_highest_version_is_in_force() {
+    let target = good("one");
+    let fleet = Fleet::ready("version", config(5), &[&target]);
+    let mut without = config(7);
+    without.routes.retain(|route| &*route.path_prefix != "/safe/");
+    fleet.configure(without);
+    until("the route is gone", || fleet.get("/safe/", "").status == 404);
+    fleet.configure(config(6));
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(fleet.get("/safe/", "").status, 404, "an older version came back");
+}
+
+#[test]
+fn a_request_before_the_first_configuration_is_held_for_it() {
+    let target = good("one");
+    let fleet = Fleet::start("early");
+    let callers = fleet.callers;
+    until("the port is open", || TcpStream::connect(callers).is_ok());
+    let early = std::thread::spawn(move || exchange(callers, &request("GET", "/safe/", "", "")));
+    fleet.announce(&target, TargetState::Ready, 1);
+    fleet.configure(config(1));
+    assert_eq!(early.join().expect("no panic").body, "one");
+}
+
+#[test]
+fn a_stop_finishes_what_was_begun_and_tells_the_balancer_first() {
+    let slow = Target::start("slow", vec![Act::SendAndHang(String::new())]);
+    let mut fleet = Fleet::ready("stop", config(1), &[&slow]);
+    let mut stream = TcpStream::connect(fleet.callers).expect("connects");
+    stream
+        .write_all(request("POST", "/once/", "Deadline-Ms: 1500\r\n", "pay").as_bytes())
+        .expect("sends");
+    until("the target has the request", || slow.seen().len() == 1);
+    fleet.stop_gateway();
+    until("it is no longer ready", || {
+        exchange(fleet.ready, "GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n").status == 503
+    });
+    // Callers that the balancer still sends are served, and the begun request gets its end.
+    assert_eq!(fleet.get("/nowhere/", "").status, 404);
+    assert_eq!(read_reply(&mut stream).status, 504);
+}
--- a/crates/mulberry-registry/tests/group.rs
+++ b/crates/mulberry-registry/tests/group.rs
@@ -285,6 +285,9 @@
         answer.split(' ').nth(1).unwrap_or_default().to_owned()
     };
     assert_eq!(ask("nonsense\r\n\r\n"), "400");
-    assert_eq!(ask("PUT /config HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx"), "400");
+    assert_eq!(
+        ask("PUT /config HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx"),
+        "400"
+    );
     assert_eq!(ask(&format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(20_000))), "431");
 }
--- a/crates/mulberry-registry/tests/membership.rs
+++ b/crates/mulberry-registry/tests/membership.rs
@@ -50,8 +50,9 @@
     let views = [alive(1), alive(2), displaced, alive(4)];
     let (group, reason) = plan(&group, &views).expect("a change");
     assert_eq!((group.clone(), reason), (members(&[1, 2], &[4]), "voter_lost"));
-    let (group, reason) = plan(&group, &views[..2].iter().chain(&views[3..]).copied().collect::<Vec<_>>())
-        .expect("a change");
+    let (group, reason) =
+        plan(&group, &views[..2].iter().chain(&views[3..]).copied().collect::<Vec<_>>())
+            .expect("a change");
     assert_eq!((group, reason), (members(&[1, 2, 4], &[]), "caught_up"));
 }
 
--- a/crates/mulberry-scheduler/src/scheduler.rs
+++ b/crates/mulberry-scheduler/src/scheduler.rs
@@ -56,7 +56,7 @@
 
 /// Cost of each part that an engine reads already: requests that are read one after the other there begin to write in
 /// the pauses of each other.
-const TURN_COST: f64 = 0.12;
+const TURN_COST: f64 = 0.05;
 
 /// Requests with tight pauses on one engine up to which they are kept together.
 const PACKED_REQUESTS: f64 = 10.0;
--- a/crates/mulberry-scheduler/tests/common/mod.rs
+++ b/crates/mulberry-scheduler/tests/common/mod.rs
@@ -154,14 +154,17 @@
                     for helper in &placement.helpers {
                         engines[index_of(&helper.engine)].reads.insert(0, (next, part_ms));
                     }
-                    running.insert(next, Running {
-                        parts_left: team,
-                        engine,
-                        events_left: arrival.events,
-                        last_event_ms: None,
-                        worst_pause_ms: 0.0,
-                        first_event_ms: None,
-                    });
+                    running.insert(
+                        next,
+                        Running {
+                            parts_left: team,
+                            engine,
+                            events_left: arrival.events,
+                            last_event_ms: None,
+                            worst_pause_ms: 0.0,
+                            first_event_ms: None,
+                        },
+                    );
                 }
                 None => {
                     refused.insert(next);
@@ -170,15 +173,22 @@
             next += 1;
         }
         for at in 0..engine_count {
-            step_engine(at, now_ms as f64, &terms, &mut engines, &mut running, |request, is_end| {
-                if let Placer::Scheduler(scheduler) = &mut placer {
-                    if is_end {
-                        scheduler.finish(now_ms, job(request as u64), Outcome::Done);
-                    } else {
-                        scheduler.first_event(job(request as u64));
+            step_engine(
+                at,
+                now_ms as f64,
+                &terms,
+                &mut engines,
+                &mut running,
+                |request, is_end| {
+                    if let Placer::Scheduler(scheduler) = &mut placer {
+                        if is_end {
+                            scheduler.finish(now_ms, job(request as u64), Outcome::Done);
+                        } else {
+                            scheduler.first_event(job(request as u64));
+                        }
                     }
-                }
-            });
+                },
+            );
         }
         let done: Vec<usize> =
             running.iter().filter(|(_, r)| r.events_left == 0).map(|(id, _)| *id).collect();
--- a/crates/mulberry-telemetry/src/bounded_log.rs
+++ b/crates/mulberry-telemetry/src/bounded_log.rs
@@ -29,6 +29,9 @@
 /// Longest time that lines wait for more to be written together.
 const GATHER: Duration = Duration::from_millis(20);
 
+/// Longest time that the end of a process waits for its last lines.
+const LAST_LINES: Duration = Duration::from_millis(200);
+
 /// Lines written together at most.
 const MAX_GATHERED_LINES: usize = 256;
 
@@ -41,13 +44,31 @@
     level: &LogLevel,
     instance: &str,
     stream: impl Write + Send + 'static,
-) -> io::Result<()> {
+) -> io::Result<LogGuard> {
     let (layer, writer) = BoundedLog::new(instance);
+    let guard = LogGuard { lines: layer.lines.clone() };
     Builder::new().name("log".to_owned()).spawn(move || writer.run(stream))?;
     let filter = EnvFilter::try_new(level).unwrap_or_else(|_| EnvFilter::new("info"));
     // A second call fails because a subscriber is set; the first one stays.
     let _ = Registry::default().with(filter).with(layer).try_init();
-    Ok(())
+    Ok(guard)
+}
+
+/// Gives the last lines of a process time to be written, when it is dropped.
+#[derive(Debug)]
+pub struct LogGuard {
+    lines: Sender<String>,
+}
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        let begin = Instant::now();
+        while !self.lines.is_empty() && begin.elapsed() < LAST_LINES {
+            std::thread::sleep(GATHER);
+        }
+        // Lines that were taken from the queue are still gathered.
+        std::thread::sleep(GATHER * 2);
+    }
 }
 
 /// The layer that queues lines.
