--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -342,6 +342,7 @@
     async fn attempt(&mut self, mut chosen: Chosen, relay: &EventRelay) -> Option<Obtained> {
         let shared = self.shared.clone();
         let target_id = chosen.target_id.clone();
+        self.log_chosen(&chosen);
         let running = RunningGuard::new(&shared, &target_id);
         self.last_target = Some(target_id.clone());
         let head = self.forwarded_head(&chosen, relay);
@@ -546,6 +547,25 @@
         }
     }
 
+    fn log_chosen(&self, chosen: &Chosen) {
+        let now = Instant::now();
+        tracing::info!(
+            event = "target_chosen",
+            request_id = self.request_id(),
+            target_id = %chosen.target_id,
+            decided_by = chosen.job.as_ref().map_or("self", |job| job.decided_by),
+            in_flight = self.shared.health.borrow().in_flight(&chosen.target_id),
+            sends_before = self.sends,
+            excluded = self.excluded.len(),
+            helpers = chosen.helpers.len(),
+            forecast_ms = self.forecast_ms,
+            waited_ms = (now - self.arrived).as_millis(),
+            left_ms = self.deadline.saturating_duration_since(now).as_millis(),
+            links = self.shared.links.get(),
+            config_version = self.table.version()
+        );
+    }
+
     fn log_resumed(&self, next: &LiveStream, relay: &EventRelay) {
         tracing::info!(
             event = "stream_resumed",
--- a/crates/mulberry-gateway/src/placement.rs
+++ b/crates/mulberry-gateway/src/placement.rs
@@ -113,6 +113,10 @@
     shared: Rc<Shared>,
     number: u64,
     pub placement: Placement,
+
+    /// Who decided: this gateway as home, the home, or this gateway alone.
+    pub decided_by: &'static str,
+
     is_ended: bool,
 }
 
@@ -213,7 +217,7 @@
         };
         placer.scheduler.borrow_mut().tell(shared.now_ms(), placer.incarnation, &active);
         placer.jobs.borrow_mut().insert(number, active);
-        Ok(PlacedJob { shared: shared.clone(), number, placement, is_ended: false })
+        Ok(PlacedJob { shared: shared.clone(), number, placement, decided_by, is_ended: false })
     }
 
     /// The gateway to ask; `None` when this one decides.
--- a/crates/mulberryctl/src/commands.rs
+++ b/crates/mulberryctl/src/commands.rs
@@ -13,6 +13,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::connection::connect;
+use crate::explain::explain;
 use crate::failure::Failure;
 use crate::flags::{
     KeyCmd, LeaderCmd, MembersCmd, Mulberryctl, MulberryctlCmd, TargetCmd, ZoneCmd,
@@ -36,6 +37,7 @@
             print_plan(flags, &plan);
             Ok(())
         }
+        MulberryctlCmd::Explain(command) => explain(&command.request, &command.logs),
         MulberryctlCmd::Apply(command) => apply(flags, &command.file, command.yes),
         MulberryctlCmd::Get(_) => get(flags),
         MulberryctlCmd::Audit(command) => {
--- a/crates/mulberryctl/src/flags.rs
+++ b/crates/mulberryctl/src/flags.rs
@@ -123,6 +123,15 @@
             }
         }
 
+        /// Print the story of one request from the logs of gateways and registries.
+        cmd explain {
+            /// Id of the request.
+            required --request id: String
+
+            /// Log files; - stands for standard input.
+            repeated logs: PathBuf
+        }
+
         /// Prepare API keys.
         cmd key {
             /// Read an API key from standard input and print its SHA-256 for a workspace.
--- a/crates/mulberryctl/src/main.rs
+++ b/crates/mulberryctl/src/main.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod connection;
+mod explain;
 mod failure;
 mod flags;
 mod output;
--- a/crates/mulberryctl/tests/command_line.rs
+++ b/crates/mulberryctl/tests/command_line.rs
@@ -244,3 +244,47 @@
     let empty = run(&["key", "hash"], None, "\n");
     assert_eq!(empty, "exit code 2\nerror: the key has 0 bytes; use 1 to 4096\n");
 }
+
+#[test]
+fn explain_tells_the_story_of_one_request_in_the_order_of_time() {
+    let folder = std::env::temp_dir().join(format!("mulberryctl-explain-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let front = folder.join("front.log");
+    let core = folder.join("core.log");
+    std::fs::write(
+        &front,
+        "time_s=12.500 level=info instance=front-1 event=request_ended request_id=r1 outcome=failed status=502 \
+         target_id=e1 total_ms=400 reason=\"target e1: may have run: \\\"reset\\\"\"\n\
+         time_s=12.100 level=info instance=front-1 event=target_chosen request_id=r1 target_id=e1 decided_by=home\n\
+         time_s=12.200 level=info instance=front-1 event=request_ended request_id=r2 target_id=e1\n\
+         time_s=1.000 level=info instance=front-1 event=config_in_force version=1\n\
+         time_s=11.000 level=info instance=front-1 event=config_in_force version=2\n\
+         no line of a log\n",
+    )
+    .expect("writes");
+    std::fs::write(
+        &core,
+        "  11.9 core-1 time_s=12.300 level=info instance=core-1 event=target_left target_id=e1\n\
+         time_s=12.300 level=info instance=core-1 event=target_left target_id=e2\n",
+    )
+    .expect("writes");
+    let run = |request: &str| {
+        std::process::Command::new(env!("CARGO_BIN_EXE_mulberryctl"))
+            .args(["explain", "--request", request])
+            .args([&front, &core])
+            .output()
+            .expect("runs")
+    };
+    let output = run("r1");
+    assert!(output.status.success());
+    insta::assert_snapshot!(String::from_utf8_lossy(&output.stdout), @r#"
+      11.000 front-1 config_in_force version=2
+    * 12.100 front-1 target_chosen target_id=e1 decided_by=home
+      12.300 core-1 target_left target_id=e1
+    * 12.500 front-1 request_ended outcome=failed status=502 target_id=e1 total_ms=400 reason=target e1: may have run: "reset"
+    "#);
+    let unknown = run("r9");
+    assert_eq!(unknown.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&unknown.stderr).contains("no log names the request r9"));
+    std::fs::remove_dir_all(&folder).expect("removes");
+}
