--- a/crates/mulberryctl/src/explain.rs
+++ b/crates/mulberryctl/src/explain.rs
@@ -58,7 +58,7 @@
             lines.extend(LogLine::parse(&String::from_utf8_lossy(&line)));
         }
     }
-    let story = story(request, lines);
+    let story = story(request, &lines);
     if story.is_empty() {
         let problem = eyre!(
             "no log names the request {request}; pass the logs of all instances of that time, and look for \
@@ -72,7 +72,7 @@
     Ok(())
 }
 
-fn story(request: &str, lines: Vec<LogLine>) -> Vec<String> {
+fn story(request: &str, lines: &[LogLine]) -> Vec<String> {
     let is_own = |line: &LogLine| line.field("request_id") == Some(request);
     let own: Vec<&LogLine> = lines.iter().filter(|line| is_own(line)).collect();
     let times = own.iter().map(|line| line.time_s);
