--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -733,9 +733,12 @@
             excluded: self.excluded.clone(),
         };
         Placer::place(&self.shared, work).await.map_err(|decision| match decision {
-            Decision::Refused { retry_after_ms } => {
-                "an answer in time is out of reach".clone_into(&mut self.reason);
-                self.refusal(retry_after_ms)
+            Decision::Refused(refusal) => {
+                self.reason = format!(
+                    "{}; forecast {} ms, {} % of the engines read",
+                    refusal.cause, refusal.forecast_ms, refusal.reading_percent
+                );
+                self.refusal(refusal.retry_after_ms)
             }
             Decision::Placed(_) | Decision::NoEngine => {
                 "no engine of the service can be used".clone_into(&mut self.reason);
--- a/crates/mulberry-gateway/src/placement.rs
+++ b/crates/mulberry-gateway/src/placement.rs
@@ -202,7 +202,7 @@
         shared.metrics.placement_seconds.observe(begin.elapsed().as_secs_f64());
         let label = match &decision {
             Decision::Placed(_) => "placed",
-            Decision::Refused { .. } => "refused",
+            Decision::Refused(_) => "refused",
             Decision::NoEngine => "no_engine",
         };
         let labels = PlacementLabels { decided_by, decision: label };
--- a/crates/mulberry-scheduler/src/job.rs
+++ b/crates/mulberry-scheduler/src/job.rs
@@ -1,5 +1,6 @@
 //! Requests as the scheduler sees them.
 
+use std::fmt;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -66,15 +67,48 @@
 pub enum Decision {
     Placed(Placement),
 
-    /// An answer in time is out of reach.
-    Refused {
-        retry_after_ms: u64,
-    },
+    Refused(Refusal),
 
     /// No engine of the service can be used at all.
     NoEngine,
 }
 
+/// Why a request is not placed, and when to come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    pub cause: RefusalCause,
+    pub retry_after_ms: u64,
+
+    /// Forecast of the first event; 0 when there is no engine for one.
+    pub forecast_ms: u64,
+
+    /// Part of the engines that have been reading lately, in percent.
+    pub reading_percent: u8,
+}
+
+/// Why a request is not placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RefusalCause {
+    /// No engine that could be used has room for it.
+    NoRoom,
+
+    /// The first event would come after the caller has left.
+    TooLate,
+
+    /// It would make others late that are worth more.
+    TooCostly,
+}
+
+impl fmt::Display for RefusalCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            RefusalCause::NoRoom => "no engine has room",
+            RefusalCause::TooLate => "an answer in time is out of reach",
+            RefusalCause::TooCostly => "the engines are busy with other requests",
+        })
+    }
+}
+
 /// A placed request, told to a scheduler that does not know it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ActiveJob {
--- a/crates/mulberry-scheduler/src/lib.rs
+++ b/crates/mulberry-scheduler/src/lib.rs
@@ -12,6 +12,8 @@
 mod settings;
 
 pub use engine_state::EngineInfo;
-pub use job::{ActiveJob, Decision, Helper, JobId, Outcome, Placement, Work};
+pub use job::{
+    ActiveJob, Decision, Helper, JobId, Outcome, Placement, Refusal, RefusalCause, Work,
+};
 pub use scheduler::Scheduler;
 pub use settings::SchedulerSettings;
--- a/crates/mulberry-scheduler/src/scheduler.rs
+++ b/crates/mulberry-scheduler/src/scheduler.rs
@@ -8,7 +8,8 @@
 use crate::cost::{Bounds, value};
 use crate::engine_state::EngineState;
 use crate::{
-    ActiveJob, Decision, EngineInfo, Helper, JobId, Outcome, Placement, SchedulerSettings, Work,
+    ActiveJob, Decision, EngineInfo, Helper, JobId, Outcome, Placement, Refusal, RefusalCause,
+    SchedulerSettings, Work,
 };
 
 /// Numbers of engines that are compared for reading a prompt.
@@ -179,14 +180,18 @@
     pub fn place(&mut self, now_ms: u64, job: JobId, work: &Work) -> Decision {
         self.forget(job);
         let Some(plan) = self.best_plan(now_ms, work) else {
-            return self.refusal(now_ms, work);
+            return self.no_room(now_ms, work);
         };
         let refusal_cost = value(work.prompt_tokens) * REFUSAL_COST;
-        if plan.first_event_ms > work.time_left_ms as f64
-            || plan.cost - plan.order_cost > refusal_cost
-        {
-            let retry_after_ms = self.retry_after_ms(plan.first_event_ms, work);
-            return Decision::Refused { retry_after_ms };
+        let cause = if plan.first_event_ms > work.time_left_ms as f64 {
+            Some(RefusalCause::TooLate)
+        } else if plan.cost - plan.order_cost > refusal_cost {
+            Some(RefusalCause::TooCostly)
+        } else {
+            None
+        };
+        if let Some(cause) = cause {
+            return Decision::Refused(self.refusal(work, cause, plan.first_event_ms));
         }
         let placement = Placement {
             engine: plan.first,
@@ -354,13 +359,24 @@
     }
 
     /// The answer when no engine can take the request now.
-    fn refusal(&self, now_ms: u64, work: &Work) -> Decision {
+    fn no_room(&self, now_ms: u64, work: &Work) -> Decision {
         let Some(pool) = self.pools.get(&work.service) else { return Decision::NoEngine };
         let usable = pool.engines.values().filter(|engine| !work.excluded.contains(&engine.id));
         let Some(wait_ms) = usable.map(|engine| engine.suspended_left_ms(now_ms)).min() else {
             return Decision::NoEngine;
         };
-        Decision::Refused { retry_after_ms: self.retry_after_ms(wait_ms as f64, work) }
+        let refusal = self.refusal(work, RefusalCause::NoRoom, wait_ms as f64);
+        Decision::Refused(Refusal { forecast_ms: 0, ..refusal })
+    }
+
+    fn refusal(&self, work: &Work, cause: RefusalCause, forecast_ms: f64) -> Refusal {
+        let reading_share = self.pools.get(&work.service).map_or(0.0, |pool| pool.reading_share);
+        Refusal {
+            cause,
+            retry_after_ms: self.retry_after_ms(forecast_ms, work),
+            forecast_ms: forecast_ms as u64,
+            reading_percent: (reading_share * 100.0) as u8,
+        }
     }
 
     fn retry_after_ms(&self, wait_ms: f64, work: &Work) -> u64 {
--- a/crates/mulberry-scheduler/tests/common/mod.rs
+++ b/crates/mulberry-scheduler/tests/common/mod.rs
@@ -133,7 +133,7 @@
                 Placer::Scheduler(scheduler) => {
                     match scheduler.place(now_ms, job(next as u64), &arrival.work) {
                         Decision::Placed(placement) => Some(placement),
-                        Decision::Refused { .. } | Decision::NoEngine => None,
+                        Decision::Refused(_) | Decision::NoEngine => None,
                     }
                 }
                 Placer::RoundRobin(turn) => {
--- a/crates/mulberry-scheduler/tests/placement.rs
+++ b/crates/mulberry-scheduler/tests/placement.rs
@@ -7,7 +7,8 @@
 use common::{engines, job, scheduler, terms, work};
 use mulberry_routes::ColdLimit;
 use mulberry_scheduler::{
-    ActiveJob, Decision, EngineInfo, JobId, Outcome, Placement, Scheduler, SchedulerSettings, Work,
+    ActiveJob, Decision, EngineInfo, JobId, Outcome, Placement, RefusalCause, Scheduler,
+    SchedulerSettings, Work,
 };
 
 fn placed(decision: Decision) -> Placement {
@@ -64,10 +65,12 @@
     assert_eq!(scheduler.place(0, job(2), &other), Decision::NoEngine);
     scheduler.set_engines(0, &"pool".into(), &terms(), None, &engines(2));
     let hopeless = Work { time_left_ms: 500, ..work(300_000, 3_000, 1_000) };
-    let Decision::Refused { retry_after_ms } = scheduler.place(0, job(3), &hopeless) else {
+    let Decision::Refused(refusal) = scheduler.place(0, job(3), &hopeless) else {
         panic!("an answer within 500 ms is out of reach");
     };
-    assert!((100..=3_000).contains(&retry_after_ms));
+    assert_eq!(refusal.cause, RefusalCause::TooLate);
+    assert!(refusal.forecast_ms > 500);
+    assert!((100..=3_000).contains(&refusal.retry_after_ms));
     assert_eq!(scheduler.job_count(), 0, "a refused request holds nothing");
 }
 
@@ -76,7 +79,7 @@
     let mut scheduler = scheduler(1);
     let big = work(200_000, 10_000, 0);
     placed(scheduler.place(0, job(1), &big));
-    assert!(matches!(scheduler.place(0, job(2), &big), Decision::Refused { .. }));
+    assert!(matches!(scheduler.place(0, job(2), &big), Decision::Refused(_)));
     scheduler.finish(10, job(1), Outcome::Done);
     placed(scheduler.place(20, job(3), &big));
 }
@@ -89,7 +92,7 @@
     let again = placed(scheduler.place(10, job(2), &work(3_000, 300, 250))).engine;
     assert_ne!(first, again, "a failed engine is suspended");
     let excluded = Work { excluded: vec![again], ..work(3_000, 300, 250) };
-    assert!(matches!(scheduler.place(20, job(3), &excluded), Decision::Refused { .. }));
+    assert!(matches!(scheduler.place(20, job(3), &excluded), Decision::Refused(_)));
     placed(scheduler.place(400, job(4), &excluded));
 }
 
