--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -694,7 +694,7 @@
         }
         self.membership_due_ms = now_ms + MEMBERSHIP_MS;
         let views = self.member_views(now_ms);
-        let wanted_voters = self.settings.seeds.len().max(1);
+        let wanted_voters = self.settings.wanted_voters;
         let Some(replica) = &mut self.replica else { return };
         if replica.raft.members_committed() {
             let members = replica.raft.members().clone();
--- a/crates/mulberry-registry/src/settings.rs
+++ b/crates/mulberry-registry/src/settings.rs
@@ -23,6 +23,9 @@
     /// Whether this is the first start of all registries, so that the seeds form a group.
     pub bootstrap: bool,
 
+    /// Size that the group grows to while there are registries for it.
+    pub wanted_voters: usize,
+
     pub data_folder: PathBuf,
 
     /// Time between two announcements of a target.
@@ -44,6 +47,7 @@
             metrics_address: None,
             seeds: Vec::new(),
             bootstrap: false,
+            wanted_voters: 3,
             data_folder: PathBuf::new(),
             announce_ms: 1_000,
             stop_ms: 8_000,
--- a/crates/mulberry-registry/tests/membership.rs
+++ b/crates/mulberry-registry/tests/membership.rs
@@ -81,3 +81,15 @@
     let views = [alive(1), alive(2), alive(3), silent(4, 21_000)];
     assert_eq!(plan(&group, &views), Some((members(&[1, 2, 3], &[]), "learner_lost")));
 }
+
+#[test]
+fn a_group_grows_to_the_wanted_size_and_no_further() {
+    let group = members(&[1, 2, 3], &[4, 5, 6]);
+    let views: Vec<MemberView> = (1..=6).map(alive).collect();
+    let grow =
+        |group: &Members| plan_membership(MemberId(1), group, &views, 5).map(|plan| plan.members);
+    let group = grow(&group).expect("a fourth voter");
+    let group = grow(&group).expect("a fifth voter");
+    assert_eq!((group.voters.len(), group.learners.len()), (5, 1));
+    assert_eq!(grow(&group), None);
+}
