--- a/crates/mulberry-registry/src/lib.rs
+++ b/crates/mulberry-registry/src/lib.rs
@@ -20,7 +20,7 @@
 mod sockets;
 
 pub use command::Command;
-pub use membership::{MemberView, MembershipPlan, plan_membership};
+pub use membership::{MemberView, MembershipPlan, plan_membership, silence_ms};
 pub use operator_state::OperatorState;
 pub use public_protocol::{BadCall, PublicCall, PublicProtocol};
 pub use registry::{Registry, RegistryError};
--- a/crates/mulberry-registry/src/membership.rs
+++ b/crates/mulberry-registry/src/membership.rs
@@ -28,6 +28,11 @@
     pub is_displaced: bool,
 }
 
+/// Time since a replica was last heard: by an answer to the leader, or by introducing itself. `None` if it never was.
+pub fn silence_ms(now_ms: u64, answered_ms: Option<u64>, heard_ms: Option<u64>) -> Option<u64> {
+    answered_ms.max(heard_ms).map(|at_ms| now_ms.saturating_sub(at_ms))
+}
+
 /// The next change.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MembershipPlan {
--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -19,7 +19,7 @@
 
 use crate::disk_thread::{DiskEvent, DiskJob, DiskThread};
 use crate::gateway_links::{AddedLink, GatewayLinks};
-use crate::membership::{MemberView, REPLACE_AFTER_MS, plan_membership};
+use crate::membership::{MemberView, REPLACE_AFTER_MS, plan_membership, silence_ms};
 use crate::peer_links::PeerLinks;
 use crate::peer_message::{PeerHello, PeerMessage};
 use crate::registry_metrics::RegistryMetrics;
@@ -728,7 +728,10 @@
         let raft = &replica.raft;
         let mut views: BTreeMap<MemberId, MemberView> = BTreeMap::new();
         for progress in raft.progress() {
-            let silent_ms = progress.last_acknowledged_ms.map(|at| now_ms.saturating_sub(at));
+            let mut hellos = self.hellos.values();
+            let hello = hellos.find(|(hello, _)| hello.member == progress.member.0);
+            let heard_ms = hello.map(|(_, heard_ms)| *heard_ms);
+            let silent_ms = silence_ms(now_ms, progress.last_acknowledged_ms, heard_ms);
             let displaced = replica.state.addresses.get(&progress.member.0).is_some_and(|at| {
                 self.hellos.get(at).is_some_and(|(hello, _)| hello.member != progress.member.0)
             });
--- a/crates/mulberry-registry/tests/membership.rs
+++ b/crates/mulberry-registry/tests/membership.rs
@@ -1,7 +1,7 @@
 //! Which change of its members a group needs next.
 
 use mulberry_consensus::{MemberId, Members};
-use mulberry_registry::{MemberView, plan_membership};
+use mulberry_registry::{MemberView, plan_membership, silence_ms};
 
 fn ids(numbers: &[u64]) -> Vec<MemberId> {
     numbers.iter().copied().map(MemberId).collect()
@@ -93,3 +93,12 @@
     assert_eq!((group.voters.len(), group.learners.len()), (5, 1));
     assert_eq!(grow(&group), None);
 }
+
+#[test]
+fn a_new_learner_that_has_introduced_itself_stays_until_its_first_answer() {
+    let learner = MemberView { silent_ms: silence_ms(900, None, Some(800)), ..silent(4, 0) };
+    let views = [alive(1), alive(2), alive(3), learner];
+    assert_eq!(plan(&members(&[1, 2, 3], &[4]), &views), None);
+    assert_eq!(silence_ms(900, Some(850), Some(800)), Some(50));
+    assert_eq!(silence_ms(900, None, None), None);
+}
