--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -1,34 +1,33 @@
 //! One request from its route to the last byte of its answer.
 
+mod answers;
+mod choice;
+mod relay;
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use mulberry_http1::{Http1Connection, ReadError, RequestHead, ResponseHead, encode_chunk};
-use mulberry_routes::{Denied, Route, RouteKind, RouteTable, Service, Target};
-use mulberry_scheduler::{Decision, Outcome, Work};
-use rand::Rng as _;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use mulberry_http1::{Http1Connection, RequestHead, ResponseHead};
+use mulberry_routes::{Denied, Route, RouteKind, RouteTable, Target};
+use mulberry_scheduler::Outcome;
+use tokio::time::{Instant, timeout_at};
 
+use self::answers::{send_own, send_whole};
+use self::choice::choose_service;
 use crate::attempt::{Answer, Attempt, SendError};
-use crate::dialect::{CallerFields, ForwardFields};
-use crate::loans::{Lender, Loan};
+use crate::dialect::CallerFields;
+use crate::loans::Loan;
 use crate::metrics::{AttemptLabels, LengthLabels, RequestLabels, prompt_class};
-use crate::placement::{PlacedJob, Placer};
+use crate::placement::PlacedJob;
 use crate::shared::Shared;
 use crate::{EventRelay, RetryBudget};
 
 /// Sends that reached no target and may be made beyond the attempts of the route.
 const MAX_UNSENT: u32 = 3;
 
-/// Least wait for a target before another one is tried.
-const MIN_PATIENCE: Duration = Duration::from_millis(250);
-
-/// Times the aim of a plain request that a target may take before another one is tried.
-const PATIENCE_AIMS: f64 = 3.0;
-
 /// Shortest pause in a stream, also before its first event, after which a caller leaves.
 const CALLER_PATIENCE: Duration = Duration::from_millis(2_000);
 
@@ -42,12 +41,6 @@
 /// would be thrown away; an engine that is gone shows by its connection.
 const ENGINE_PATIENCE: f64 = 0.75;
 
-/// Times the forecast of the first event that an engine gets at least.
-const FORECAST_SLACK: f64 = 1.5;
-
-/// Placements that may fail because an engine does not lend its memory.
-const MAX_LOAN_REFUSALS: usize = 2;
-
 /// Idle time of a kept connection for requests that must not run twice: a target may close an older one just then.
 const FRESH: Duration = Duration::ZERO;
 
@@ -453,100 +446,6 @@
         Ok(None)
     }
 
-    /// Passes a stream on to its end, on other engines if need be.
-    async fn relay(
-        &mut self,
-        client: &mut Http1Connection,
-        live: LiveStream,
-        mut relay: EventRelay,
-        keeps_alive: bool,
-    ) -> Next {
-        let mut head = Some(stream_head(&live.answer.head, keeps_alive));
-        let mut live = live;
-        let gap = self.engine_patience();
-        loop {
-            let ended = self.relay_one(client, &mut live, &mut relay, &mut head, gap).await;
-            let LiveStream { answer, target_id, job, loan, running, .. } = live;
-            match ended {
-                Ended::Complete => {
-                    drop((loan, running));
-                    answer.keep(&self.shared, &target_id);
-                    let now_ms = self.shared.now_ms();
-                    self.shared.health.borrow_mut().succeeded(now_ms, &target_id);
-                    self.count_attempt("answered");
-                    if let Some(job) = job {
-                        job.finish(Outcome::Done);
-                    }
-                    let mut bytes = Vec::new();
-                    if let Some(head) = head.take() {
-                        head.encode(&mut bytes);
-                    }
-                    bytes.extend_from_slice(b"0\r\n\r\n");
-                    let is_sent = client.write_all(&bytes).await.is_ok();
-                    self.end(if is_sent { "served" } else { "left" }, 200);
-                    return if is_sent && keeps_alive { Next::KeepAlive } else { Next::Close };
-                }
-                Ended::ClientLeft => {
-                    drop((answer, job, loan, running));
-                    self.end("left", 200);
-                    return Next::Close;
-                }
-                Ended::OutOfTime => {
-                    drop((answer, job, loan, running));
-                    "out of time within the stream".clone_into(&mut self.reason);
-                    self.end("cut", 200);
-                    return Next::Close;
-                }
-                Ended::Overtaken(next) => {
-                    drop((answer, loan, running));
-                    relay.drop_partial();
-                    let reason = format!("no event for {} ms", gap.as_millis());
-                    self.failed(&SendError::Unknown(reason), &target_id, job);
-                    self.log_resumed(&next, &relay);
-                    live = *next;
-                    continue;
-                }
-                Ended::Broken(reason) => {
-                    drop((answer, loan, running));
-                    relay.drop_partial();
-                    self.failed(&SendError::Unknown(reason), &target_id, job);
-                }
-            }
-            let resumed = if self.route.kind == RouteKind::ResumableStream && self.may_try_again() {
-                tokio::select! {
-                    biased;
-                    obtained = self.obtain(&relay) => obtained,
-                    () = client.wait_closed() => {
-                        self.end("left", 200);
-                        return Next::Close;
-                    }
-                }
-            } else {
-                self.give_up()
-            };
-            match resumed {
-                Obtained::Stream(next) => {
-                    self.log_resumed(&next, &relay);
-                    live = *next;
-                }
-                Obtained::Whole { .. } | Obtained::GivenUp(_) if head.is_none() => {
-                    self.end("broken", 200);
-                    return Next::Close;
-                }
-                Obtained::Whole { head, body } => {
-                    let status = head.status;
-                    self.end("failed_at_target", status);
-                    return send_whole(client, head, &body, keeps_alive).await;
-                }
-                Obtained::GivenUp(given_up) => {
-                    self.end("failed", given_up.status);
-                    let reason = std::mem::take(&mut self.reason);
-                    return send_own(client, &given_up, &reason, keeps_alive).await;
-                }
-            }
-        }
-    }
-
     fn log_chosen(&self, chosen: &Chosen) {
         let now = Instant::now();
         tracing::info!(
@@ -566,257 +465,6 @@
         );
     }
 
-    fn log_resumed(&self, next: &LiveStream, relay: &EventRelay) {
-        tracing::info!(
-            event = "stream_resumed",
-            request_id = self.request_id(),
-            target_id = %next.target_id,
-            after_event = relay.last_event().unwrap_or(0)
-        );
-    }
-
-    /// Passes on what one engine sends.
-    async fn relay_one(
-        &mut self,
-        client: &mut Http1Connection,
-        live: &mut LiveStream,
-        relay: &mut EventRelay,
-        head: &mut Option<ResponseHead>,
-        gap: Duration,
-    ) -> Ended {
-        let mut bytes = Some(std::mem::take(&mut live.first_bytes));
-        loop {
-            let Some(received) = bytes else {
-                if relay.has_partial() {
-                    return Ended::Broken("the stream ended within an event".to_owned());
-                }
-                return Ended::Complete;
-            };
-            let mut events = Vec::new();
-            let pushed = relay.push(&received, &mut events);
-            if !events.is_empty() {
-                let mut out = Vec::with_capacity(events.len() + 512);
-                if let Some(head) = head.take() {
-                    head.encode(&mut out);
-                    self.first_event();
-                }
-                encode_chunk(&events, &mut out);
-                if client.write_all(&out).await.is_err() {
-                    return Ended::ClientLeft;
-                }
-            }
-            if let Err(error) = pushed {
-                return Ended::Broken(error.to_string());
-            }
-            bytes = match self.next_bytes(client, live, relay, gap).await {
-                Ok(bytes) => bytes,
-                Err(ended) => return ended,
-            };
-        }
-    }
-
-    /// The next bytes of an engine's stream. When the engine is silent for longer than `gap`, another one is asked to go
-    /// on, and the first of the two that says something is heard.
-    async fn next_bytes(
-        &mut self,
-        client: &mut Http1Connection,
-        live: &mut LiveStream,
-        relay: &EventRelay,
-        gap: Duration,
-    ) -> Result<Option<Vec<u8>>, Ended> {
-        let broken = |error: ReadError| Ended::Broken(error.to_string());
-        loop {
-            let silent_at = Instant::now() + gap;
-            tokio::select! {
-                biased;
-                read = live.answer.next() => return read.map_err(broken),
-                () = client.wait_closed() => return Err(Ended::ClientLeft),
-                () = sleep_until(silent_at.min(self.deadline)) => {}
-            }
-            if Instant::now() >= self.deadline {
-                return Err(Ended::OutOfTime);
-            }
-            if self.route.kind != RouteKind::ResumableStream || !self.may_try_again() {
-                continue;
-            }
-            self.excluded.push(live.target_id.clone());
-            let deadline = self.deadline;
-            tokio::select! {
-                biased;
-                read = live.answer.next() => return read.map_err(broken),
-                () = client.wait_closed() => return Err(Ended::ClientLeft),
-                () = sleep_until(deadline) => return Err(Ended::OutOfTime),
-                obtained = self.obtain(relay) => if let Obtained::Stream(next) = obtained {
-                    return Err(Ended::Overtaken(next));
-                },
-            }
-        }
-    }
-
-    /// Waits for the first target of the service to become known, as after a restart of everything.
-    async fn learn_targets(&self) {
-        let has_targets = || self.shared.fleet.borrow().usable(&self.service).next().is_some();
-        if self.sends > 0 || has_targets() {
-            return;
-        }
-        let time = self.deadline - self.arrived;
-        let limit = self.arrived + LEARNING.min(time.mul_f64(LEARNING_SHARE));
-        wait_until(&self.shared, limit, has_targets).await;
-    }
-
-    /// Chooses a target for the next attempt.
-    async fn choose(&mut self) -> Result<Chosen, GivenUp> {
-        self.learn_targets().await;
-        let table = self.table.clone();
-        let Some(service) = table.service(&self.service) else {
-            "the service is not configured".clone_into(&mut self.reason);
-            return Err(GivenUp { status: 503, retry_after_ms: Some(NO_TARGET_RETRY_MS) });
-        };
-        if service.engine.is_some() {
-            return self.choose_engine().await;
-        }
-        let Some((target_id, address)) = self.choose_target(service) else {
-            "no target of the service can be used".clone_into(&mut self.reason);
-            return Err(self.refusal(NO_TARGET_RETRY_MS));
-        };
-        let aim = Duration::from_millis(self.route.aim_ms).mul_f64(PATIENCE_AIMS);
-        let patience = if self.has_further_attempt() && self.route.kind == RouteKind::Safe {
-            (Instant::now() + aim.max(MIN_PATIENCE)).min(self.deadline)
-        } else {
-            self.deadline
-        };
-        Ok(Chosen { target_id, address, job: None, helpers: Vec::new(), loan: None, patience })
-    }
-
-    async fn choose_engine(&mut self) -> Result<Chosen, GivenUp> {
-        for _ in 0..=MAX_LOAN_REFUSALS {
-            let job = self.place().await?;
-            let lenders = job.helpers();
-            let is_lent = |lender: &&Lender| lender.tokens > 0;
-            let loan = if lenders.iter().any(|lender| is_lent(&lender)) {
-                let lending = lenders.iter().filter(is_lent).cloned().collect();
-                match Loan::take(&self.shared, job.ticket(), lending).await {
-                    Ok(loan) => Some(loan),
-                    Err(refuser) => {
-                        self.excluded.push(refuser);
-                        job.finish(Outcome::Rejected);
-                        continue;
-                    }
-                }
-            } else {
-                None
-            };
-            let ticket = loan.as_ref().map(|loan| loan.ticket().to_owned());
-            let helpers = lenders
-                .into_iter()
-                .map(|lender| (lender.address, ticket.clone().filter(|_| lender.tokens > 0)))
-                .collect();
-            return self.chosen_engine(job, helpers, loan);
-        }
-        "engines did not lend their memory".clone_into(&mut self.reason);
-        Err(self.refusal(FULL_RETRY_MS))
-    }
-
-    async fn place(&mut self) -> Result<PlacedJob, GivenUp> {
-        let now = Instant::now();
-        let waited = now - self.arrived;
-        let left_ms = |until: Duration| until.saturating_sub(waited).as_millis() as u64;
-        let work = Work {
-            service: self.service.clone(),
-            prompt_tokens: self.fields.prompt_tokens,
-            answer_tokens: self.fields.answer_tokens,
-            priority: self.priority,
-            aim_left_ms: left_ms(Duration::from_millis(self.route.aim_ms)),
-            max_pause_ms: self.route.max_pause_ms,
-            time_left_ms: (self.deadline - now).as_millis() as u64,
-            zone: self.shared.settings.zone.clone(),
-            excluded: self.excluded.clone(),
-        };
-        Placer::place(&self.shared, work).await.map_err(|decision| match decision {
-            Decision::Refused(refusal) => {
-                self.reason = format!(
-                    "{}; forecast {} ms, {} % of the engines read",
-                    refusal.cause, refusal.forecast_ms, refusal.reading_percent
-                );
-                self.refusal(refusal.retry_after_ms)
-            }
-            Decision::Placed(_) | Decision::NoEngine => {
-                "no engine of the service can be used".clone_into(&mut self.reason);
-                self.refusal(NO_TARGET_RETRY_MS)
-            }
-        })
-    }
-
-    fn chosen_engine(
-        &mut self,
-        job: PlacedJob,
-        helpers: Vec<(SocketAddr, Option<String>)>,
-        loan: Option<Loan>,
-    ) -> Result<Chosen, GivenUp> {
-        let now = Instant::now();
-        let waited = now - self.arrived;
-        self.helpers = job.placement.helpers.len();
-        self.forecast_ms = waited.as_millis() as u64 + job.placement.first_event_ms;
-        let target_id = job.engine().clone();
-        let address = self.shared.fleet.borrow().get(&target_id).map(|record| record.address);
-        let Some(address) = address else {
-            "the chosen engine is not known".clone_into(&mut self.reason);
-            return Err(self.refusal(NO_TARGET_RETRY_MS));
-        };
-        let patience = if self.has_further_attempt() && self.route.kind.is_idempotent() {
-            let forecast = Duration::from_millis(job.placement.first_event_ms);
-            (now + self.engine_patience().max(forecast.mul_f64(FORECAST_SLACK))).min(self.deadline)
-        } else {
-            self.deadline
-        };
-        Ok(Chosen { target_id, address, job: Some(job), helpers, loan, patience })
-    }
-
-    /// The target of a plain service that is least loaded, as far as this gateway knows.
-    fn choose_target(&self, service: &Service) -> Option<(Arc<str>, SocketAddr)> {
-        let now_ms = self.shared.now_ms();
-        let fleet = self.shared.fleet.borrow();
-        let health = self.shared.health.borrow();
-        let cost = |record: &mulberry_directory::TargetRecord| {
-            let id = &*record.id;
-            let is_silent =
-                fleet.silent_since_ms(id).is_some_and(|since| !health.has_served_since(since, id));
-            let is_avoided = is_silent || health.is_suspended(now_ms, id);
-            f64::from(health.in_flight(id))
-                + health.failure_share(id) * 4.0
-                + if is_avoided { 100.0 } else { 0.0 }
-                + if record.zone == self.shared.settings.zone { 0.0 } else { 0.4 }
-                + rand::rng().random_range(0.0..0.2)
-        };
-        fleet
-            .usable(&service.name)
-            .filter(|record| !self.excluded.contains(&record.id))
-            .map(|record| (cost(record), record))
-            .min_by(|(a, _), (b, _)| a.total_cmp(b))
-            .map(|(_, record)| (record.id.clone(), record.address))
-    }
-
-    fn forwarded_head(&self, chosen: &Chosen, relay: &EventRelay) -> RequestHead {
-        let mut head = self.head.clone();
-        head.headers.remove_connection_fields();
-        head.headers.remove("expect");
-        head.headers.remove("content-length");
-        if !self.body.is_empty() || self.head.headers.get("content-length").is_some() {
-            head.headers.push("Content-Length", self.body.len().to_string().as_bytes());
-        }
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        let fields = ForwardFields {
-            deadline_ms: Some(left.as_millis() as u64),
-            target_id: &chosen.target_id,
-            tenant: self.tenant.as_deref(),
-            priority: chosen.job.as_ref().map(|_| engine_priority(self.fields.prompt_tokens)),
-            helpers: &chosen.helpers,
-            last_event: relay.last_event(),
-        };
-        self.shared.dialect.forward(&mut head.headers, &fields);
-        head
-    }
-
     /// Records a failed attempt.
     fn failed(&mut self, error: &SendError, target_id: &Arc<str>, job: Option<PlacedJob>) {
         let now_ms = self.shared.now_ms();
@@ -969,99 +617,3 @@
         f.write_str(if self.0.is_empty() { "-" } else { self.0 })
     }
 }
-
-/// How the stream of one engine ended.
-enum Ended {
-    Complete,
-    ClientLeft,
-    OutOfTime,
-
-    /// The engine is silent and another one goes on.
-    Overtaken(Box<LiveStream>),
-
-    Broken(String),
-}
-
-/// A service of the route, by weight.
-fn choose_service(route: &Route) -> Arc<str> {
-    let total: u64 = route.backends.iter().map(|backend| u64::from(backend.weight)).sum();
-    let mut drawn = rand::rng().random_range(0..total.max(1));
-    for backend in &route.backends {
-        let weight = u64::from(backend.weight);
-        if drawn < weight {
-            return backend.service.clone();
-        }
-        drawn -= weight;
-    }
-    // A checked route has a weight above 0.
-    route.backends.first().map_or_else(|| "".into(), |backend| backend.service.clone())
-}
-
-/// Rank at the engine: short prompts are read before long ones.
-fn engine_priority(prompt_tokens: u64) -> u8 {
-    match prompt_tokens {
-        0..16_000 => 1,
-        16_000..64_000 => 3,
-        _ => 5,
-    }
-}
-
-fn stream_head(answer: &ResponseHead, keeps_alive: bool) -> ResponseHead {
-    let mut head = answer.clone();
-    head.headers.remove_connection_fields();
-    head.headers.remove("content-length");
-    head.headers.push("Transfer-Encoding", b"chunked");
-    if !keeps_alive {
-        head.headers.push("Connection", b"close");
-    }
-    head
-}
-
-/// Sends a whole answer of a target.
-async fn send_whole(
-    client: &mut Http1Connection,
-    mut head: ResponseHead,
-    body: &[u8],
-    keeps_alive: bool,
-) -> Next {
-    head.headers.remove_connection_fields();
-    head.headers.set("Content-Length", body.len().to_string().as_bytes());
-    if !keeps_alive {
-        head.headers.push("Connection", b"close");
-    }
-    send(client, &head, body, keeps_alive).await
-}
-
-/// Sends an answer of the gateway itself.
-async fn send_own(
-    client: &mut Http1Connection,
-    given_up: &GivenUp,
-    reason: &str,
-    keeps_alive: bool,
-) -> Next {
-    let body = format!("{reason}\n");
-    let mut head = ResponseHead::new(given_up.status);
-    head.headers.push("Content-Type", b"text/plain; charset=utf-8");
-    head.headers.push("Content-Length", body.len().to_string().as_bytes());
-    if let Some(retry_after_ms) = given_up.retry_after_ms {
-        let seconds = format!("{:.3}", Duration::from_millis(retry_after_ms).as_secs_f64());
-        head.headers.push("Retry-After", seconds.as_bytes());
-    }
-    if !keeps_alive {
-        head.headers.push("Connection", b"close");
-    }
-    send(client, &head, body.as_bytes(), keeps_alive).await
-}
-
-async fn send(
-    client: &mut Http1Connection,
-    head: &ResponseHead,
-    body: &[u8],
-    keeps_alive: bool,
-) -> Next {
-    let mut bytes = Vec::with_capacity(512 + body.len());
-    head.encode(&mut bytes);
-    bytes.extend_from_slice(body);
-    let is_sent = client.write_all(&bytes).await.is_ok();
-    if is_sent && keeps_alive { Next::KeepAlive } else { Next::Close }
-}
--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -1,5 +1,9 @@
 //! State of one registry and what it does after each event.
 
+mod gossip;
+mod group;
+mod replica;
+
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -7,61 +11,30 @@
 use std::sync::Arc;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-use mulberry_consensus::{
-    Committed, Confirmation, DurableState, MemberId, Members, Payload, Raft, RaftMessage,
-    RaftSettings, Role,
-};
+use mulberry_consensus::{DurableState, MemberId, Payload, Raft, RaftMessage, Role};
 use mulberry_directory::{
-    GatewayInfo, GatewayMessage, Observed, RegistryMessage, TargetRecord, TargetState, TargetTable,
+    GatewayInfo, GatewayMessage, Observed, RegistryMessage, TargetRecord, TargetTable,
 };
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
+use self::replica::{Reader, Replica, Waiter, raft_settings, sorted_ids};
 use crate::disk_thread::{DiskEvent, DiskJob, DiskThread};
 use crate::gateway_links::{AddedLink, GatewayLinks};
-use crate::membership::{MemberView, REPLACE_AFTER_MS, plan_membership, silence_ms};
 use crate::peer_links::PeerLinks;
 use crate::peer_message::{PeerHello, PeerMessage};
 use crate::registry_metrics::RegistryMetrics;
 use crate::{Command, OperatorState, RegistrySettings};
 
-/// Time between two heartbeats of the leader. A registry may have a small share of a core.
-const HEARTBEAT_MS: u64 = 100;
-
-/// Shortest and longest time without a leader before an election.
-const ELECTION_MS: (u64, u64) = (400, 700);
-
-/// Commands after which a snapshot is written.
-const SNAPSHOT_COMMANDS: u64 = 48;
-
-/// Entries kept in memory before a snapshot. Each may hold a whole configuration.
-const KEPT_ENTRIES: u64 = 8;
-
-/// Bytes sent to one member and not yet acknowledged.
-const MAX_IN_FLIGHT_BYTES: usize = 2 << 20;
-
-/// Time between two hellos to all known registries, and the same while there is no group.
-const HELLO_MS: u64 = 500;
-const FIRST_HELLO_MS: u64 = 100;
-
-/// Age after which a hello no longer says who is at an address.
-const HELLO_LIFE_MS: u64 = 30_000;
-
 /// Time between two rounds of what registries tell each other and gateways.
 const GOSSIP_MS: u64 = 700;
 
 /// Announcements that a target must miss before it counts as silent.
 const SILENT_ANNOUNCEMENTS: u64 = 3;
 
-/// Time without an announcement after which a target is forgotten.
-const FORGET_TARGET_MS: u64 = 60_000;
-
 /// Time for which changes are gathered before they are noted on the disk.
 const NOTE_MS: u64 = 250;
 
-/// Time between two looks at the members of the group.
-const MEMBERSHIP_MS: u64 = 100;
-
 /// Time between two attempts to open the data folder.
 const REOPEN_MS: u64 = 300;
 
@@ -121,41 +94,6 @@
     operator: OperatorState,
 }
 
-/// The replica of the log.
-#[derive(Debug)]
-struct Replica {
-    raft: Raft,
-    state: OperatorState,
-
-    /// Ids of the first group; empty when not known.
-    first_members: Vec<u64>,
-
-    is_writing: bool,
-    is_saving: bool,
-
-    /// Commands proposed here, by index.
-    waiting: BTreeMap<u64, (u64, Waiter)>,
-
-    reads: HashMap<u64, Reader>,
-    next_read: u64,
-
-    /// Who waits until an index is applied.
-    applied_waiters: Vec<(u64, oneshot::Sender<()>)>,
-}
-
-#[derive(Debug)]
-enum Waiter {
-    Nobody,
-    Here(oneshot::Sender<bool>),
-    Peer { member: MemberId, ticket: u64 },
-}
-
-#[derive(Debug)]
-enum Reader {
-    Here(oneshot::Sender<Option<u64>>),
-    Peer { member: MemberId, ticket: u64 },
-}
-
 /// The node as the tasks of its process share it.
 pub(crate) type SharedNode = Rc<RefCell<Node>>;
 
@@ -644,117 +582,6 @@
         self.publish();
     }
 
-    /// Forms the first group once all seeds agree on its members.
-    fn form_group(&mut self, now_ms: u64) {
-        let own_address = self.settings.link_address;
-        if !self.settings.bootstrap || !self.settings.seeds.contains(&own_address) {
-            return;
-        }
-        let Some(replica) = &mut self.replica else { return };
-        if !replica.raft.members().is_empty() {
-            return;
-        }
-        let own = replica.raft.id();
-        let others: Vec<&PeerHello> = self
-            .settings
-            .seeds
-            .iter()
-            .filter(|seed| **seed != own_address)
-            .filter_map(|seed| self.hellos.get(seed).map(|(hello, _)| hello))
-            .collect();
-        let formed =
-            others.iter().find(|hello| hello.has_group && hello.first_members.contains(&own.0));
-        let mut ids: Vec<u64> = others.iter().map(|hello| hello.member).collect();
-        ids.push(own.0);
-        ids.sort_unstable();
-        if let Some(formed) = formed {
-            ids.clone_from(&formed.first_members);
-        } else {
-            replica.first_members.clone_from(&ids);
-            let all_agree = ids.len() == self.settings.seeds.len()
-                && others.iter().all(|hello| !hello.has_group && hello.first_members == ids);
-            if !all_agree {
-                return;
-            }
-        }
-        let voters = ids.iter().copied().map(MemberId).collect();
-        let members = Members { voters, learners: Vec::new() };
-        tracing::info!(event = "group_formed", members = ids.len());
-        let settings =
-            RaftSettings { bootstrap: true, initial_members: members, ..raft_settings(own) };
-        replica.raft = Raft::new(settings, DurableState::default(), now_ms);
-        replica.first_members = ids;
-        self.hello_due_ms = 0;
-    }
-
-    /// What only the leader does: keeps the group whole.
-    fn lead(&mut self, now_ms: u64) {
-        if now_ms < self.membership_due_ms || !self.is_leader() {
-            return;
-        }
-        self.membership_due_ms = now_ms + MEMBERSHIP_MS;
-        let views = self.member_views(now_ms);
-        let wanted_voters = self.settings.wanted_voters;
-        let Some(replica) = &mut self.replica else { return };
-        if replica.raft.members_committed() {
-            let members = replica.raft.members().clone();
-            let own = replica.raft.id();
-            if let Some(plan) = plan_membership(own, &members, &views, wanted_voters) {
-                match replica.raft.propose_members(plan.members.clone()) {
-                    Ok(_) => tracing::info!(
-                        event = "members_changed",
-                        reason = plan.reason,
-                        voters = plan.members.voters.len(),
-                        learners = plan.members.learners.len()
-                    ),
-                    Err(error) => tracing::debug!(event = "members_not_changed", %error),
-                }
-            }
-        }
-        let members: Vec<MemberId> = replica.raft.members().all().collect();
-        let own = (replica.raft.id().0, self.settings.link_address);
-        let told = self.hellos.values().map(|(hello, _)| (hello.member, hello.address));
-        let moved = told.chain([own]).find(|(member, address)| {
-            members.contains(&MemberId(*member))
-                && replica.state.addresses.get(member) != Some(address)
-        });
-        if let (Some((member, address)), true) = (moved, replica.waiting.is_empty()) {
-            replica.propose(&Command::Locate { member, address }, Waiter::Nobody);
-        }
-    }
-
-    fn member_views(&self, now_ms: u64) -> Vec<MemberView> {
-        let Some(replica) = &self.replica else { return Vec::new() };
-        let raft = &replica.raft;
-        let mut views: BTreeMap<MemberId, MemberView> = BTreeMap::new();
-        for progress in raft.progress() {
-            let mut hellos = self.hellos.values();
-            let hello = hellos.find(|(hello, _)| hello.member == progress.member.0);
-            let heard_ms = hello.map(|(_, heard_ms)| *heard_ms);
-            let silent_ms = silence_ms(now_ms, progress.last_acknowledged_ms, heard_ms);
-            let displaced = replica.state.addresses.get(&progress.member.0).is_some_and(|at| {
-                self.hellos.get(at).is_some_and(|(hello, _)| hello.member != progress.member.0)
-            });
-            let view = MemberView {
-                member: progress.member,
-                silent_ms,
-                is_caught_up: progress.match_index >= raft.commit_index()
-                    && progress.recently_active,
-                is_displaced: displaced,
-            };
-            views.insert(progress.member, view);
-        }
-        for (hello, heard_ms) in self.hellos.values() {
-            views.entry(MemberId(hello.member)).or_insert(MemberView {
-                member: MemberId(hello.member),
-                silent_ms: Some(now_ms.saturating_sub(*heard_ms)),
-                is_caught_up: false,
-                is_displaced: false,
-            });
-        }
-        views.into_values().collect()
-    }
-
     /// Tells the gateways what has been accepted since the last time.
     fn publish(&mut self) {
         if let Some(replica) = &self.replica {
@@ -784,92 +611,6 @@
         }
     }
 
-    fn send_hellos(&mut self, now_ms: u64) {
-        let Some(replica) = &self.replica else {
-            self.hello_due_ms = now_ms + FIRST_HELLO_MS;
-            return;
-        };
-        let has_group = !replica.raft.members().is_empty();
-        self.hello_due_ms = now_ms + if has_group { HELLO_MS } else { FIRST_HELLO_MS };
-        let hello = PeerHello {
-            member: replica.raft.id().0,
-            address: self.settings.link_address,
-            has_group,
-            first_members: replica.first_members.clone(),
-        };
-        self.hellos.retain(|_, (_, heard_ms)| *heard_ms + HELLO_LIFE_MS > now_ms);
-        let peers = self.known_peers();
-        self.peers.keep(&peers);
-        for address in peers {
-            self.peers.send(address, PeerMessage::Hello(hello.clone()));
-        }
-    }
-
-    fn gossip(&mut self, now_ms: u64) {
-        self.drop_closed_calls();
-        let heard: Vec<Arc<str>> = std::mem::take(&mut self.heard).into_iter().collect();
-        let from = self.replica.as_ref().map_or(0, |replica| replica.raft.id().0);
-        let gateways = self.gateways.infos();
-        for address in self.known_peers() {
-            if !heard.is_empty() {
-                self.peers.send(address, PeerMessage::Heard(heard.clone()));
-            }
-            let message = PeerMessage::Gateways { from, gateways: gateways.clone() };
-            self.peers.send(address, message);
-        }
-        self.remote_gateways.retain(|_, (_, at_ms)| *at_ms + 4 * GOSSIP_MS > now_ms);
-
-        let expired = self.targets.expire(now_ms.saturating_sub(FORGET_TARGET_MS));
-        let expired: Vec<TargetRecord> = expired
-            .into_iter()
-            .map(|record| TargetRecord { state: TargetState::Gone, ..record })
-            .collect();
-        if !expired.is_empty() {
-            tracing::info!(event = "targets_expired", count = expired.len());
-            self.gateways.send_all(&RegistryMessage::Targets(expired));
-        }
-        let limit_ms = self.silent_after_ms();
-        let silent: Vec<Arc<str>> = self
-            .targets
-            .iter()
-            .filter(|(record, _)| record.state != TargetState::Gone)
-            .filter(|(_, heard_ms)| heard_ms + limit_ms < now_ms)
-            .map(|(record, _)| record.id.clone())
-            .collect();
-        if silent != self.told_silent {
-            tracing::info!(event = "targets_silent", targets = ?silent);
-            self.note_due_ms.get_or_insert(now_ms + NOTE_MS);
-            self.told_silent.clone_from(&silent);
-            self.gateways.send_all(&RegistryMessage::Silent(silent));
-        }
-        let present = self.targets.iter().filter(|(r, _)| r.state != TargetState::Gone).count();
-        self.metrics.targets.set(present as i64);
-        self.metrics.gateways.set(gateways.len() as i64);
-        self.tell_gateways();
-        let registries = self.registries();
-        if registries != self.told_registries {
-            self.told_registries.clone_from(&registries);
-            self.gateways.send_all(&RegistryMessage::Registries(registries));
-        }
-        self.gateways.send_all(&RegistryMessage::Version(self.told.0));
-    }
-
-    fn tell_targets(&mut self, records: Vec<TargetRecord>) {
-        self.note_due_ms.get_or_insert(self.now_ms() + NOTE_MS);
-        for address in self.known_peers() {
-            self.peers.send(address, PeerMessage::Targets(records.clone()));
-        }
-        self.gateways.send_all(&RegistryMessage::Targets(records));
-    }
-
-    fn tell_gateways(&mut self) {
-        let all = self.all_gateways();
-        if all != self.told_gateways {
-            self.told_gateways.clone_from(&all);
-            self.gateways.send_all(&RegistryMessage::Gateways(all));
-        }
-    }
-
     /// Gateways linked here or at another registry, the newest start of each name.
     fn all_gateways(&self) -> Vec<GatewayInfo> {
         let remote = self.remote_gateways.values().flat_map(|(infos, _)| infos.iter().cloned());
@@ -922,137 +663,3 @@
         }
     }
 }
-
-impl Replica {
-    fn propose(&mut self, command: &Command, waiter: Waiter) {
-        let proposed = postcard::to_stdvec(command)
-            .map_err(|error| tracing::error!(event = "command_not_encoded", %error))
-            .ok()
-            .and_then(|bytes| self.raft.propose(bytes).ok());
-        match proposed {
-            Some(position) => {
-                self.waiting.insert(position.index, (position.term, waiter));
-            }
-            // Index 0 is never committed, so that the waiter is told with the next round.
-            None => {
-                self.waiting.insert(0, (0, waiter));
-            }
-        }
-    }
-
-    fn read(&mut self, reader: Reader) {
-        self.next_read += 1;
-        let context = self.next_read;
-        if self.raft.confirm_leadership(context).is_ok() {
-            self.reads.insert(context, reader);
-        } else if let Reader::Here(sender) = reader {
-            let _ = sender.send(None);
-        }
-    }
-
-    fn apply_committed(&mut self) {
-        for committed in self.raft.take_committed() {
-            match committed {
-                Committed::Snapshot(snapshot) => match postcard::from_bytes(&snapshot.data) {
-                    Ok(state) => {
-                        self.state = state;
-                        self.state.applied_index = snapshot.index;
-                    }
-                    Err(error) => tracing::error!(event = "snapshot_unreadable", %error),
-                },
-                Committed::Entry(entry) => match entry.payload {
-                    Payload::Command(bytes) => match postcard::from_bytes(&bytes) {
-                        Ok(command) => self.state.apply(entry.index, command),
-                        Err(error) => tracing::error!(event = "command_unreadable", %error),
-                    },
-                    Payload::Empty | Payload::Members(_) => self.state.applied_index = entry.index,
-                },
-            }
-        }
-        let applied = self.state.applied_index;
-        let waiters = std::mem::take(&mut self.applied_waiters);
-        for (index, sender) in waiters {
-            if index <= applied {
-                let _ = sender.send(());
-            } else {
-                self.applied_waiters.push((index, sender));
-            }
-        }
-    }
-
-    /// Who waits for commands that this replica no longer leads to a commit.
-    fn take_lost(&mut self) -> Vec<Waiter> {
-        let term = self.raft.term();
-        let leads = self.raft.role() == Role::Leader;
-        let applied = self.state.applied_index;
-        let lost: Vec<u64> = self
-            .waiting
-            .iter()
-            .filter(|(index, (at_term, _))| {
-                **index == 0 || (**index > applied && !(leads && *at_term == term))
-            })
-            .map(|(index, _)| *index)
-            .collect();
-        lost.iter().filter_map(|index| self.waiting.remove(index)).map(|(_, w)| w).collect()
-    }
-
-    /// Who waits for commands that are applied, and whether it was theirs.
-    fn take_done(&mut self) -> Vec<(Waiter, bool)> {
-        let later = self.waiting.split_off(&(self.state.applied_index + 1));
-        let done = std::mem::replace(&mut self.waiting, later);
-        let raft = &self.raft;
-        // A proposal of an earlier term may have been replaced by another entry at its index.
-        let own_term = |term| raft.role() == Role::Leader && raft.term() == term;
-        done.into_values().map(|(term, waiter)| (waiter, own_term(term))).collect()
-    }
-
-    fn take_read_answers(&mut self) -> Vec<(Reader, Option<u64>)> {
-        let confirmed = self.raft.take_confirmed();
-        confirmed
-            .into_iter()
-            .filter_map(|confirmation| {
-                let (context, index) = match confirmation {
-                    Confirmation::Confirmed { context, commit_index } => {
-                        (context, Some(commit_index))
-                    }
-                    Confirmation::Lost { context } => (context, None),
-                };
-                self.reads.remove(&context).map(|reader| (reader, index))
-            })
-            .collect()
-    }
-
-    fn due_snapshot(&mut self) -> Option<mulberry_consensus::Snapshot> {
-        let commands = self.state.applied_index.saturating_sub(self.raft.snapshot_index());
-        if self.is_saving || commands < SNAPSHOT_COMMANDS {
-            return None;
-        }
-        let data = postcard::to_stdvec(&self.state)
-            .map_err(|error| tracing::error!(event = "snapshot_not_encoded", %error))
-            .ok()?;
-        let snapshot = self.raft.snapshot_at(self.state.applied_index, data)?;
-        self.is_saving = true;
-        Some(snapshot)
-    }
-}
-
-fn raft_settings(id: MemberId) -> RaftSettings {
-    // The replacement of a silent voter must not race with an election.
-    const _: () = assert!(REPLACE_AFTER_MS > ELECTION_MS.0);
-    RaftSettings {
-        id,
-        seed: rand::random(),
-        heartbeat_ms: HEARTBEAT_MS,
-        election_timeout_min_ms: ELECTION_MS.0,
-        election_timeout_max_ms: ELECTION_MS.1,
-        max_in_flight_bytes: MAX_IN_FLIGHT_BYTES,
-        kept_entries: KEPT_ENTRIES,
-        ..RaftSettings::default()
-    }
-}
-
-fn sorted_ids(members: &Members) -> Vec<u64> {
-    let mut ids: Vec<u64> = members.voters.iter().map(|voter| voter.0).collect();
-    ids.sort_unstable();
-    ids
-}
--- /dev/null
+++ b/crates/mulberry-registry/src/node/gossip.rs
@@ -0,0 +1,106 @@
+//! What registries and gateways are told again and again.
+
+use std::sync::Arc;
+
+use mulberry_directory::{RegistryMessage, TargetRecord, TargetState};
+
+use super::{GOSSIP_MS, NOTE_MS, Node};
+use crate::peer_message::{PeerHello, PeerMessage};
+
+/// Age after which a hello no longer says who is at an address.
+const HELLO_LIFE_MS: u64 = 30_000;
+
+/// Time without an announcement after which a target is forgotten.
+const FORGET_TARGET_MS: u64 = 60_000;
+
+/// Time between two hellos to all known registries, and the same while there is no group.
+const HELLO_MS: u64 = 500;
+const FIRST_HELLO_MS: u64 = 100;
+
+impl Node {
+    pub(super) fn send_hellos(&mut self, now_ms: u64) {
+        let Some(replica) = &self.replica else {
+            self.hello_due_ms = now_ms + FIRST_HELLO_MS;
+            return;
+        };
+        let has_group = !replica.raft.members().is_empty();
+        self.hello_due_ms = now_ms + if has_group { HELLO_MS } else { FIRST_HELLO_MS };
+        let hello = PeerHello {
+            member: replica.raft.id().0,
+            address: self.settings.link_address,
+            has_group,
+            first_members: replica.first_members.clone(),
+        };
+        self.hellos.retain(|_, (_, heard_ms)| *heard_ms + HELLO_LIFE_MS > now_ms);
+        let peers = self.known_peers();
+        self.peers.keep(&peers);
+        for address in peers {
+            self.peers.send(address, PeerMessage::Hello(hello.clone()));
+        }
+    }
+
+    pub(super) fn gossip(&mut self, now_ms: u64) {
+        self.drop_closed_calls();
+        let heard: Vec<Arc<str>> = std::mem::take(&mut self.heard).into_iter().collect();
+        let from = self.replica.as_ref().map_or(0, |replica| replica.raft.id().0);
+        let gateways = self.gateways.infos();
+        for address in self.known_peers() {
+            if !heard.is_empty() {
+                self.peers.send(address, PeerMessage::Heard(heard.clone()));
+            }
+            let message = PeerMessage::Gateways { from, gateways: gateways.clone() };
+            self.peers.send(address, message);
+        }
+        self.remote_gateways.retain(|_, (_, at_ms)| *at_ms + 4 * GOSSIP_MS > now_ms);
+
+        let expired = self.targets.expire(now_ms.saturating_sub(FORGET_TARGET_MS));
+        let expired: Vec<TargetRecord> = expired
+            .into_iter()
+            .map(|record| TargetRecord { state: TargetState::Gone, ..record })
+            .collect();
+        if !expired.is_empty() {
+            tracing::info!(event = "targets_expired", count = expired.len());
+            self.gateways.send_all(&RegistryMessage::Targets(expired));
+        }
+        let limit_ms = self.silent_after_ms();
+        let silent: Vec<Arc<str>> = self
+            .targets
+            .iter()
+            .filter(|(record, _)| record.state != TargetState::Gone)
+            .filter(|(_, heard_ms)| heard_ms + limit_ms < now_ms)
+            .map(|(record, _)| record.id.clone())
+            .collect();
+        if silent != self.told_silent {
+            tracing::info!(event = "targets_silent", targets = ?silent);
+            self.note_due_ms.get_or_insert(now_ms + NOTE_MS);
+            self.told_silent.clone_from(&silent);
+            self.gateways.send_all(&RegistryMessage::Silent(silent));
+        }
+        let present = self.targets.iter().filter(|(r, _)| r.state != TargetState::Gone).count();
+        self.metrics.targets.set(present as i64);
+        self.metrics.gateways.set(gateways.len() as i64);
+        self.tell_gateways();
+        let registries = self.registries();
+        if registries != self.told_registries {
+            self.told_registries.clone_from(&registries);
+            self.gateways.send_all(&RegistryMessage::Registries(registries));
+        }
+        self.gateways.send_all(&RegistryMessage::Version(self.told.0));
+    }
+
+    pub(super) fn tell_targets(&mut self, records: Vec<TargetRecord>) {
+        self.note_due_ms.get_or_insert(self.now_ms() + NOTE_MS);
+        for address in self.known_peers() {
+            self.peers.send(address, PeerMessage::Targets(records.clone()));
+        }
+        self.gateways.send_all(&RegistryMessage::Targets(records));
+    }
+
+    pub(super) fn tell_gateways(&mut self) {
+        let all = self.all_gateways();
+        if all != self.told_gateways {
+            self.told_gateways.clone_from(&all);
+            self.gateways.send_all(&RegistryMessage::Gateways(all));
+        }
+    }
+}
--- /dev/null
+++ b/crates/mulberry-registry/src/node/group.rs
@@ -0,0 +1,127 @@
+//! How the group forms, grows and replaces its members.
+
+use std::collections::BTreeMap;
+
+use mulberry_consensus::{DurableState, MemberId, Members, Raft, RaftSettings};
+
+use super::Node;
+use super::replica::{Waiter, raft_settings};
+use crate::Command;
+use crate::membership::{MemberView, plan_membership, silence_ms};
+use crate::peer_message::PeerHello;
+
+/// Time between two looks at the members of the group.
+const MEMBERSHIP_MS: u64 = 100;
+
+impl Node {
+    /// Forms the first group once all seeds agree on its members.
+    pub(super) fn form_group(&mut self, now_ms: u64) {
+        let own_address = self.settings.link_address;
+        if !self.settings.bootstrap || !self.settings.seeds.contains(&own_address) {
+            return;
+        }
+        let Some(replica) = &mut self.replica else { return };
+        if !replica.raft.members().is_empty() {
+            return;
+        }
+        let own = replica.raft.id();
+        let others: Vec<&PeerHello> = self
+            .settings
+            .seeds
+            .iter()
+            .filter(|seed| **seed != own_address)
+            .filter_map(|seed| self.hellos.get(seed).map(|(hello, _)| hello))
+            .collect();
+        let formed =
+            others.iter().find(|hello| hello.has_group && hello.first_members.contains(&own.0));
+        let mut ids: Vec<u64> = others.iter().map(|hello| hello.member).collect();
+        ids.push(own.0);
+        ids.sort_unstable();
+        if let Some(formed) = formed {
+            ids.clone_from(&formed.first_members);
+        } else {
+            replica.first_members.clone_from(&ids);
+            let all_agree = ids.len() == self.settings.seeds.len()
+                && others.iter().all(|hello| !hello.has_group && hello.first_members == ids);
+            if !all_agree {
+                return;
+            }
+        }
+        let voters = ids.iter().copied().map(MemberId).collect();
+        let members = Members { voters, learners: Vec::new() };
+        tracing::info!(event = "group_formed", members = ids.len());
+        let settings =
+            RaftSettings { bootstrap: true, initial_members: members, ..raft_settings(own) };
+        replica.raft = Raft::new(settings, DurableState::default(), now_ms);
+        replica.first_members = ids;
+        self.hello_due_ms = 0;
+    }
+
+    /// What only the leader does: keeps the group whole.
+    pub(super) fn lead(&mut self, now_ms: u64) {
+        if now_ms < self.membership_due_ms || !self.is_leader() {
+            return;
+        }
+        self.membership_due_ms = now_ms + MEMBERSHIP_MS;
+        let views = self.member_views(now_ms);
+        let wanted_voters = self.settings.wanted_voters;
+        let Some(replica) = &mut self.replica else { return };
+        if replica.raft.members_committed() {
+            let members = replica.raft.members().clone();
+            let own = replica.raft.id();
+            if let Some(plan) = plan_membership(own, &members, &views, wanted_voters) {
+                match replica.raft.propose_members(plan.members.clone()) {
+                    Ok(_) => tracing::info!(
+                        event = "members_changed",
+                        reason = plan.reason,
+                        voters = plan.members.voters.len(),
+                        learners = plan.members.learners.len()
+                    ),
+                    Err(error) => tracing::debug!(event = "members_not_changed", %error),
+                }
+            }
+        }
+        let members: Vec<MemberId> = replica.raft.members().all().collect();
+        let own = (replica.raft.id().0, self.settings.link_address);
+        let told = self.hellos.values().map(|(hello, _)| (hello.member, hello.address));
+        let moved = told.chain([own]).find(|(member, address)| {
+            members.contains(&MemberId(*member))
+                && replica.state.addresses.get(member) != Some(address)
+        });
+        if let (Some((member, address)), true) = (moved, replica.waiting.is_empty()) {
+            replica.propose(&Command::Locate { member, address }, Waiter::Nobody);
+        }
+    }
+
+    pub(super) fn member_views(&self, now_ms: u64) -> Vec<MemberView> {
+        let Some(replica) = &self.replica else { return Vec::new() };
+        let raft = &replica.raft;
+        let mut views: BTreeMap<MemberId, MemberView> = BTreeMap::new();
+        for progress in raft.progress() {
+            let mut hellos = self.hellos.values();
+            let hello = hellos.find(|(hello, _)| hello.member == progress.member.0);
+            let heard_ms = hello.map(|(_, heard_ms)| *heard_ms);
+            let silent_ms = silence_ms(now_ms, progress.last_acknowledged_ms, heard_ms);
+            let displaced = replica.state.addresses.get(&progress.member.0).is_some_and(|at| {
+                self.hellos.get(at).is_some_and(|(hello, _)| hello.member != progress.member.0)
+            });
+            let view = MemberView {
+                member: progress.member,
+                silent_ms,
+                is_caught_up: progress.match_index >= raft.commit_index()
+                    && progress.recently_active,
+                is_displaced: displaced,
+            };
+            views.insert(progress.member, view);
+        }
+        for (hello, heard_ms) in self.hellos.values() {
+            views.entry(MemberId(hello.member)).or_insert(MemberView {
+                member: MemberId(hello.member),
+                silent_ms: Some(now_ms.saturating_sub(*heard_ms)),
+                is_caught_up: false,
+                is_displaced: false,
+            });
+        }
+        views.into_values().collect()
+    }
+}
