Refuse requests late in a stop; send gateways only what changes of a configuration

Registries keep the last eight and send what differs; they tell each other their gateways only when these change. Tests of gateways shared ports with outgoing connections of other tests and failed once beside other work: each fleet now has a loopback address of its own. Sockets are set up in one place. The expected text of a test of routes had two names the wrong way round and had never been run.

--- a/crates/mulberry-directory/src/messages.rs
+++ b/crates/mulberry-directory/src/messages.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use mulberry_routes::RoutingConfig;
+use mulberry_routes::{ConfigDelta, RoutingConfig};
 use serde::{Deserialize, Serialize};
 
 use crate::TargetRecord;
@@ -39,8 +39,8 @@
     /// The first message, and again when something of it changes.
     Hello { gateway: GatewayInfo, config_version: u64 },
 
-    /// Asks for the configuration, because another registry told of a newer version than this gateway holds.
-    WantConfig,
+    /// Asks for the configuration, because a registry told of a newer version than this gateway holds; 0 for none.
+    WantConfig { above: u64 },
 }
 
 /// From a registry to a gateway.
@@ -49,6 +49,9 @@
     /// A configuration that this registry knows to be accepted.
     Config(Arc<RoutingConfig>),
 
+    /// What has changed since a version that the gateway holds.
+    ConfigDelta(Arc<ConfigDelta>),
+
     /// Version that this registry knows to be accepted; also the sign of life of an idle link.
     Version(u64),
 
--- a/crates/mulberry-gateway/src/attempt.rs
+++ b/crates/mulberry-gateway/src/attempt.rs
@@ -1,16 +1,21 @@
 //! One send of a request to one target.
 
 use std::fmt;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use mulberry_http1::{
     BodyDecoder, Framing, Http1Connection, ReadError, RequestHead, ResponseHead, response_framing,
+    watch_peer,
 };
 
+use tokio::net::TcpStream;
+
 use crate::dialect::AnswerFields;
+use crate::settings::TARGET_UNANSWERED;
 use crate::shared::Shared;
-use crate::sockets;
 
 /// Time for a connection to a target to be made.
 const CONNECT: Duration = Duration::from_millis(350);
@@ -28,7 +33,7 @@
 #[derive(Debug)]
 pub(crate) struct Attempt<'a> {
     pub target_id: &'a Arc<str>,
-    pub address: std::net::SocketAddr,
+    pub address: SocketAddr,
     pub head: &'a RequestHead,
     pub body: &'a [u8],
     pub request_id: Option<&'a str>,
@@ -63,6 +68,13 @@
     is_clean: bool,
 }
 
+/// Connects to a target.
+pub(crate) async fn connect_target(address: SocketAddr, within: Duration) -> io::Result<TcpStream> {
+    let stream = mulberry_http1::connect(address, within).await?;
+    watch_peer(&stream, TARGET_UNANSWERED)?;
+    Ok(stream)
+}
+
 impl Attempt<'_> {
     /// Sends the request and waits for the head of its answer.
     pub(crate) async fn send(&self, shared: &Shared) -> Result<Answer, SendError> {
@@ -71,7 +83,7 @@
             Some(connection) => connection,
             None => {
                 shared.metrics.target_connections.inc();
-                let stream = sockets::connect_target(self.address, CONNECT).await;
+                let stream = connect_target(self.address, CONNECT).await;
                 let stream = stream.map_err(|error| SendError::NotSent(error.to_string()))?;
                 Http1Connection::new(stream)
             }
--- a/crates/mulberry-gateway/src/caller_server.rs
+++ b/crates/mulberry-gateway/src/caller_server.rs
@@ -5,15 +5,15 @@
 
 use mulberry_http1::{
     BodyDecoder, Framing, HeadError, Http1Connection, ReadError, RequestHead, ResponseHead,
-    request_framing,
+    request_framing, watch_peer,
 };
 use mulberry_routes::RequestLimits;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::exchange::{self, Next};
+use crate::settings::PEER_UNANSWERED;
 use crate::shared::{Counted, Shared};
-use crate::sockets;
 
 /// Time between two looks at whether the gateway stops, on an idle connection.
 const STOP_CHECK: Duration = Duration::from_millis(250);
@@ -54,7 +54,7 @@
 
 async fn serve_connection(stream: TcpStream, shared: Rc<Shared>) {
     let _counted = Counted::new(&shared.connections, &shared.metrics.connections);
-    if let Err(error) = sockets::prepare(&stream) {
+    if let Err(error) = watch_peer(&stream, PEER_UNANSWERED) {
         tracing::debug!(event = "connection_not_prepared", %error);
         return;
     }
--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -57,6 +57,9 @@
 /// Part of its time that a request spends on that wait at most, so that it can still be served afterwards.
 const LEARNING_SHARE: f64 = 0.4;
 
+/// Time to come back, to another gateway, when this one stops.
+const STOPPING_RETRY_MS: u64 = 100;
+
 /// Time to come back when the targets are full.
 const FULL_RETRY_MS: u64 = 250;
 
@@ -163,6 +166,11 @@
     body: Vec<u8>,
     arrived: Instant,
 ) -> Next {
+    if shared.takes_no_more.get() {
+        tracing::info!(event = "request_refused", status = 503, reason = "stopping");
+        let given_up = GivenUp { status: 503, retry_after_ms: Some(STOPPING_RETRY_MS) };
+        return send_own(client, &given_up, "this gateway stops; call another one", false).await;
+    }
     let fields = shared.dialect.caller_fields(&head.headers);
     if shared.table().is_none() {
         let limit = fields
--- a/crates/mulberry-gateway/src/gateway.rs
+++ b/crates/mulberry-gateway/src/gateway.rs
@@ -15,11 +15,14 @@
 
 use crate::placement::Placer;
 use crate::shared::Shared;
-use crate::{Dialect, GatewaySettings, caller_server, ready_server, registry_links, sockets};
+use crate::{Dialect, GatewaySettings, caller_server, ready_server, registry_links};
 
 /// Least time between the signal to stop and the end, so that the balancer notices and sends nobody any more.
 const MIN_STOP: Duration = Duration::from_millis(3_200);
 
+/// Part of the time to stop after which new requests are refused, since the rest may not be enough for them.
+const TAKING_SHARE: f64 = 0.35;
+
 /// Time before the process is killed at which it ends by itself.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 
@@ -116,6 +119,7 @@
     loop {
         sleep(STOP_CHECK).await;
         let now = Instant::now();
+        shared.takes_no_more.set(now >= begin + stop_time.mul_f64(TAKING_SHARE));
         let is_done = shared.active.get() == 0 && shared.connections.get() == 0;
         if now >= last || (now >= first && is_done) {
             break;
@@ -129,7 +133,7 @@
 }
 
 fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, GatewayError> {
-    sockets::listen(address).map_err(|source| GatewayError { what, address, source })
+    mulberry_http1::listen(address).map_err(|source| GatewayError { what, address, source })
 }
 
 impl fmt::Display for GatewayError {
--- a/crates/mulberry-gateway/src/lib.rs
+++ b/crates/mulberry-gateway/src/lib.rs
@@ -19,7 +19,6 @@
 mod retry_budget;
 mod settings;
 mod shared;
-mod sockets;
 mod target_health;
 mod target_pool;
 
--- a/crates/mulberry-gateway/src/loans.rs
+++ b/crates/mulberry-gateway/src/loans.rs
@@ -14,9 +14,9 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{sleep, timeout};
 
+use crate::attempt::connect_target;
 use crate::dialect::TargetCall;
 use crate::shared::Shared;
-use crate::sockets;
 
 /// Time for which an engine keeps lent memory without a renewal.
 const HOLD_MS: u64 = 3_000;
@@ -148,7 +148,7 @@
         Some(connection) => connection,
         None => {
             shared.metrics.target_connections.inc();
-            let stream = sockets::connect_target(lender.address, ANSWER).await;
+            let stream = connect_target(lender.address, ANSWER).await;
             Http1Connection::new(stream.map_err(|error| error.to_string())?)
         }
     };
--- a/crates/mulberry-gateway/src/registry_links.rs
+++ b/crates/mulberry-gateway/src/registry_links.rs
@@ -11,14 +11,15 @@
 
 use bytes::BytesMut;
 use mulberry_directory::{GatewayMessage, LinkMessage, RegistryMessage, read_frame, write_frame};
+use mulberry_http1::{connect, watch_peer};
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
+use crate::settings::PEER_UNANSWERED;
 use crate::shared::Shared;
-use crate::sockets;
 
 /// Time for a connection to a registry to be made.
 const CONNECT: Duration = Duration::from_millis(500);
@@ -77,7 +78,7 @@
 async fn keep_link(shared: Rc<Shared>, address: SocketAddr, told: UnboundedSender<Told>) {
     let mut is_reported = false;
     loop {
-        let connected = sockets::connect(address, CONNECT).await;
+        let connected = connect(address, CONNECT).await;
         let reason = match connected {
             Ok(stream) => {
                 tracing::info!(event = "registry_linked", registry = %address);
@@ -112,7 +113,7 @@
     stream: TcpStream,
     told: &UnboundedSender<Told>,
 ) -> String {
-    if let Err(error) = sockets::prepare(&stream) {
+    if let Err(error) = watch_peer(&stream, PEER_UNANSWERED) {
         return error.to_string();
     }
     let (mut reader, mut writer) = stream.into_split();
@@ -154,9 +155,18 @@
         RegistryMessage::Config(config) => {
             shared.put_in_force(std::sync::Arc::unwrap_or_clone(config));
         }
+        RegistryMessage::ConfigDelta(delta) => {
+            let later = shared.table().and_then(|table| delta.apply(table.config()));
+            match later {
+                Some(config) => shared.put_in_force(config),
+                // Another registry was faster.
+                None if delta.version <= shared.config_version() => {}
+                None => return Some(GatewayMessage::WantConfig { above: 0 }),
+            }
+        }
         RegistryMessage::Version(version) => {
             if shared.is_config_wanted(version) {
-                return Some(GatewayMessage::WantConfig);
+                return Some(GatewayMessage::WantConfig { above: shared.config_version() });
             }
         }
         RegistryMessage::Evacuated { index, zones } => {
--- a/crates/mulberry-gateway/src/settings.rs
+++ b/crates/mulberry-gateway/src/settings.rs
@@ -2,9 +2,16 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use mulberry_scheduler::SchedulerSettings;
 
+/// Time for which bytes sent to a target may stay without an answer of its kernel.
+pub(crate) const TARGET_UNANSWERED: Duration = Duration::from_millis(1_000);
+
+/// The same for callers and registries.
+pub(crate) const PEER_UNANSWERED: Duration = Duration::from_millis(2_000);
+
 /// Settings of a gateway.
 #[derive(Debug, Clone, PartialEq)]
 pub struct GatewaySettings {
--- a/crates/mulberry-gateway/src/shared.rs
+++ b/crates/mulberry-gateway/src/shared.rs
@@ -30,6 +30,10 @@
     pub placer: Placer,
     pub metrics: GatewayMetrics,
     pub is_stopping: Cell<bool>,
+
+    /// Whether the stop is so far that a new request might not be finished.
+    pub takes_no_more: Cell<bool>,
+
     pub links: Cell<usize>,
     pub active: Cell<usize>,
     pub connections: Cell<usize>,
@@ -65,6 +69,7 @@
             placer,
             metrics: GatewayMetrics::default(),
             is_stopping: Cell::new(false),
+            takes_no_more: Cell::new(false),
             links: Cell::new(0),
             active: Cell::new(0),
             connections: Cell::new(0),
--- a/crates/mulberry-gateway/tests/common/mod.rs
+++ b/crates/mulberry-gateway/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -138,6 +139,13 @@
     }
 }
 
+/// A loopback address of this fleet alone, so that no other test or connection has its ports.
+fn own_ip() -> [u8; 4] {
+    static FLEETS: AtomicU8 = AtomicU8::new(1);
+    let process = std::process::id() % 200;
+    [127, 20 + process as u8, FLEETS.fetch_add(1, Ordering::Relaxed), 1]
+}
+
 /// One registry and one gateway.
 pub struct Fleet {
     pub callers: SocketAddr,
@@ -202,14 +210,12 @@
 
 impl Fleet {
     pub fn start(name: &str) -> Fleet {
-        let free = || {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
-            listener.local_addr().expect("bound")
-        };
+        let ip = own_ip();
+        let at = |port: u16| SocketAddr::from((ip, port));
         let folder =
             std::env::temp_dir().join(format!("mulberry-gateway-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
-        let (public, link) = (free(), free());
+        let (public, link) = (at(7_200), at(7_201));
         let calls: Arc<Mutex<Vec<PublicCall>>> = Arc::default();
         let settings = RegistrySettings {
             name: "registry".to_owned(),
@@ -229,11 +235,11 @@
             };
             registry.run(stop, changed).await.expect("runs");
         });
-        let (callers, ready) = (free(), free());
+        let (callers, ready) = (at(7_300), at(7_301));
         let settings = GatewaySettings {
             caller_address: callers,
             ready_address: ready,
-            gateway_address: free(),
+            gateway_address: at(7_302),
             seeds: vec![link],
             stop_ms: 5_000,
             ..GatewaySettings::default()
--- a/crates/mulberry-gateway/tests/forwarding.rs
+++ b/crates/mulberry-gateway/tests/forwarding.rs
@@ -267,3 +267,18 @@
     assert_eq!(fleet.get("/nowhere/", "").status, 404);
     assert_eq!(read_reply(&mut stream).status, 504);
 }
+
+#[test]
+fn a_request_late_in_a_stop_is_refused_at_once_instead_of_cut() {
+    let slow = Target::start("slow", vec![Act::SendAndHang(String::new())]);
+    let mut fleet = Fleet::ready("late-stop", config(1), &[&slow]);
+    let mut stream = TcpStream::connect(fleet.callers).expect("connects");
+    stream.write_all(request("POST", "/once/", "", "pay").as_bytes()).expect("sends");
+    until("the target has the request", || slow.seen().len() == 1);
+    fleet.stop_gateway();
+    until("new requests are refused", || {
+        let reply = fleet.get("/safe/", "Deadline-Ms: 100\r\n");
+        reply.status == 503 && reply.head.contains("Retry-After: 0.100")
+    });
+    assert_eq!(read_reply(&mut stream).status, 504, "what was begun gets its end");
+}
--- a/crates/mulberry-http1/src/lib.rs
+++ b/crates/mulberry-http1/src/lib.rs
@@ -7,8 +7,10 @@
 mod connection;
 mod head;
 mod headers;
+mod sockets;
 
 pub use body::{BodyDecoder, BodyError, Framing, encode_chunk, request_framing, response_framing};
 pub use connection::{Http1Connection, ReadError};
 pub use head::{HeadError, RequestHead, ResponseHead, reason_phrase};
 pub use headers::Headers;
+pub use sockets::{connect, listen, watch_peer};
--- a/crates/mulberry-registry/src/gateway_links.rs
+++ b/crates/mulberry-registry/src/gateway_links.rs
@@ -63,7 +63,11 @@
         ids.into_iter().for_each(|id| self.send(id, message.clone()));
     }
 
+    /// Gateways by name.
     pub(crate) fn infos(&self) -> Vec<GatewayInfo> {
-        self.links.values().map(|link| link.info.clone()).collect()
+        let mut infos: Vec<GatewayInfo> =
+            self.links.values().map(|link| link.info.clone()).collect();
+        infos.sort_by(|a, b| a.name.cmp(&b.name));
+        infos
     }
 }
--- a/crates/mulberry-registry/src/lib.rs
+++ b/crates/mulberry-registry/src/lib.rs
@@ -17,7 +17,6 @@
 mod registry;
 mod registry_metrics;
 mod settings;
-mod sockets;
 
 pub use command::Command;
 pub use membership::{MemberView, MembershipPlan, plan_membership, silence_ms};
--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -5,7 +5,7 @@
 mod replica;
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,6 +15,7 @@
 use mulberry_directory::{
     GatewayInfo, GatewayMessage, Observed, RegistryMessage, TargetRecord, TargetTable,
 };
+use mulberry_routes::{ConfigDelta, RoutingConfig};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
@@ -35,6 +36,9 @@
 /// Time for which changes are gathered before they are noted on the disk.
 const NOTE_MS: u64 = 250;
 
+/// Configurations kept to tell gateways only what has changed.
+const MAX_RECENT_CONFIGS: usize = 8;
+
 /// Time between two attempts to open the data folder.
 const REOPEN_MS: u64 = 300;
 
@@ -61,6 +65,11 @@
     remote_gateways: HashMap<SocketAddr, (Vec<GatewayInfo>, u64)>,
 
     told_gateways: Vec<GatewayInfo>,
+
+    /// Gateways linked here, as the other registries were told last, and when they are told again.
+    sent_gateways: Vec<GatewayInfo>,
+    gateways_due_ms: u64,
+
     targets: TargetTable,
 
     /// Targets heard from since the last gossip.
@@ -75,6 +84,12 @@
     told_silent: Vec<Arc<str>>,
     told_registries: Vec<SocketAddr>,
 
+    /// Configurations that gateways may still hold, the newest last.
+    recent_configs: VecDeque<Arc<RoutingConfig>>,
+
+    /// The newest delta that was asked for; the same goes to many gateways.
+    delta: Option<Arc<ConfigDelta>>,
+
     /// What gateways were told last: version, index of the evacuated zones.
     told: (u64, u64),
 
@@ -116,12 +131,16 @@
             gateways: GatewayLinks::default(),
             remote_gateways: HashMap::new(),
             told_gateways: Vec::new(),
+            sent_gateways: Vec::new(),
+            gateways_due_ms: 0,
             targets: TargetTable::default(),
             heard: BTreeSet::new(),
             noted: None,
             note_due_ms: None,
             told_silent: Vec::new(),
             told_registries: Vec::new(),
+            recent_configs: VecDeque::new(),
+            delta: None,
             told: (0, 0),
             next_ticket: 0,
             proposals: HashMap::new(),
@@ -441,15 +460,31 @@
                 self.gateways.update(link, gateway);
                 self.tell_gateways();
             }
-            GatewayMessage::WantConfig => {
+            GatewayMessage::WantConfig { above } => {
                 let config = self.known_state().and_then(|state| state.config.clone());
                 if let Some(config) = config {
-                    self.gateways.send(link, RegistryMessage::Config(config));
+                    let answer = self.config_since(above, config);
+                    self.gateways.send(link, answer);
                 }
             }
         }
     }
 
+    /// What a gateway with the version `above` needs to come to `config`.
+    fn config_since(&mut self, above: u64, config: Arc<RoutingConfig>) -> RegistryMessage {
+        let known = self.delta.as_ref();
+        let is_known =
+            known.is_some_and(|d| d.from_version == above && d.version == config.version);
+        if !is_known {
+            let from = self.recent_configs.iter().find(|recent| recent.version == above);
+            self.delta = from.map(|from| Arc::new(ConfigDelta::between(from, &config)));
+        }
+        match &self.delta {
+            Some(delta) => RegistryMessage::ConfigDelta(delta.clone()),
+            None => RegistryMessage::Config(config),
+        }
+    }
+
     pub(crate) fn remove_gateway(&mut self, link: u64) {
         if self.gateways.remove(link) {
             self.tell_gateways();
@@ -592,6 +627,7 @@
         }
         let Some(state) = self.known_state() else { return };
         let index = state.applied_index;
+        let config = state.config.clone();
         let zones: Vec<Arc<str>> = state.evacuated.iter().cloned().collect();
         let now = (state.version(), state.evacuated_index);
         if now > self.told {
@@ -599,6 +635,10 @@
         }
         if now.0 > self.told.0 {
             self.told.0 = now.0;
+            self.recent_configs.extend(config);
+            while self.recent_configs.len() > MAX_RECENT_CONFIGS {
+                self.recent_configs.pop_front();
+            }
             self.metrics.config_version.set(i64::try_from(now.0).unwrap_or(i64::MAX));
             tracing::info!(event = "config_in_force", version = now.0, index);
             self.gateways.send_all(&RegistryMessage::Version(now.0));
--- a/crates/mulberry-registry/src/node/gossip.rs
+++ b/crates/mulberry-registry/src/node/gossip.rs
@@ -4,7 +4,7 @@
 
 use mulberry_directory::{RegistryMessage, TargetRecord, TargetState};
 
-use super::{GOSSIP_MS, NOTE_MS, Node};
+use super::{NOTE_MS, Node};
 use crate::peer_message::{PeerHello, PeerMessage};
 
 /// Age after which a hello no longer says who is at an address.
@@ -17,6 +17,12 @@
 const HELLO_MS: u64 = 500;
 const FIRST_HELLO_MS: u64 = 100;
 
+/// Time after which the list of gateways is sent to the other registries although it has not changed.
+const REPEAT_GATEWAYS_MS: u64 = 2_500;
+
+/// Time after which the list of another registry no longer counts.
+const GATEWAYS_LIFE_MS: u64 = 6_000;
+
 impl Node {
     pub(super) fn send_hellos(&mut self, now_ms: u64) {
         let Some(replica) = &self.replica else {
@@ -44,14 +50,21 @@
         let heard: Vec<Arc<str>> = std::mem::take(&mut self.heard).into_iter().collect();
         let from = self.replica.as_ref().map_or(0, |replica| replica.raft.id().0);
         let gateways = self.gateways.infos();
+        let are_due = gateways != self.sent_gateways || now_ms >= self.gateways_due_ms;
+        if are_due {
+            self.sent_gateways.clone_from(&gateways);
+            self.gateways_due_ms = now_ms + REPEAT_GATEWAYS_MS;
+        }
         for address in self.known_peers() {
             if !heard.is_empty() {
                 self.peers.send(address, PeerMessage::Heard(heard.clone()));
             }
-            let message = PeerMessage::Gateways { from, gateways: gateways.clone() };
-            self.peers.send(address, message);
+            if are_due {
+                let message = PeerMessage::Gateways { from, gateways: gateways.clone() };
+                self.peers.send(address, message);
+            }
         }
-        self.remote_gateways.retain(|_, (_, at_ms)| *at_ms + 4 * GOSSIP_MS > now_ms);
+        self.remote_gateways.retain(|_, (_, at_ms)| *at_ms + GATEWAYS_LIFE_MS > now_ms);
 
         let expired = self.targets.expire(now_ms.saturating_sub(FORGET_TARGET_MS));
         let expired: Vec<TargetRecord> = expired
--- a/crates/mulberry-registry/src/peer_links.rs
+++ b/crates/mulberry-registry/src/peer_links.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use mulberry_directory::{LinkMessage, encode_frame};
+use mulberry_http1::watch_peer;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::peer_message::PeerMessage;
-use crate::sockets;
+use crate::settings::UNANSWERED;
 
 /// Messages that may wait for one link; more are dropped, and sent again by who needs them.
 const MAX_WAITING: usize = 256;
@@ -90,9 +91,7 @@
 }
 
 async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
-    let stream = timeout(CONNECT, TcpStream::connect(address))
-        .await
-        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
-    sockets::prepare(&stream)?;
+    let stream = mulberry_http1::connect(address, CONNECT).await?;
+    watch_peer(&stream, UNANSWERED)?;
     Ok(stream)
 }
--- a/crates/mulberry-registry/src/public_server.rs
+++ b/crates/mulberry-registry/src/public_server.rs
@@ -5,14 +5,15 @@
 
 use mulberry_directory::Observed;
 use mulberry_http1::{
-    BodyDecoder, Http1Connection, ReadError, RequestHead, ResponseHead, request_framing,
+    BodyDecoder, Http1Connection, ReadError, RequestHead, ResponseHead, request_framing, watch_peer,
 };
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::node::SharedNode;
 use crate::registry_metrics::CallLabels;
-use crate::{BadCall, Command, PublicCall, PublicProtocol, sockets};
+use crate::settings::UNANSWERED;
+use crate::{BadCall, Command, PublicCall, PublicProtocol};
 
 /// Time within which a call is answered; callers turn to another registry after a second.
 const ANSWER: Duration = Duration::from_millis(900);
@@ -60,7 +61,7 @@
 
 impl Caller {
     async fn run(self, stream: TcpStream) {
-        if sockets::prepare(&stream).is_err() {
+        if watch_peer(&stream, UNANSWERED).is_err() {
             return;
         }
         let mut connection = Http1Connection::new(stream);
--- a/crates/mulberry-registry/src/registry.rs
+++ b/crates/mulberry-registry/src/registry.rs
@@ -10,6 +10,7 @@
 
 use bytes::BytesMut;
 use mulberry_directory::{GatewayMessage, LinkMessage, read_frame, write_frame};
+use mulberry_http1::watch_peer;
 use mulberry_telemetry::serve_metrics;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
@@ -19,7 +20,8 @@
 use crate::node::{Node, SharedNode};
 use crate::peer_message::PeerMessage;
 use crate::registry_metrics::RegistryMetrics;
-use crate::{PublicProtocol, RegistrySettings, public_server, sockets};
+use crate::settings::UNANSWERED;
+use crate::{PublicProtocol, RegistrySettings, public_server};
 
 /// Time between two looks at the clock.
 const TICK: Duration = Duration::from_millis(50);
@@ -139,7 +141,11 @@
 }
 
 fn listen(what: &'static str, address: SocketAddr) -> Result<TcpListener, RegistryError> {
-    sockets::listen(address).map_err(|source| RegistryError::Listen { what, address, source })
+    mulberry_http1::listen(address).map_err(|source| RegistryError::Listen {
+        what,
+        address,
+        source,
+    })
 }
 
 async fn accept_links(listener: TcpListener, node: SharedNode) {
@@ -158,7 +164,7 @@
 
 /// Serves a connection of another registry or of a gateway, which says with its first message what it is.
 async fn serve_link(mut stream: TcpStream, node: SharedNode) {
-    if let Err(error) = sockets::prepare(&stream) {
+    if let Err(error) = watch_peer(&stream, UNANSWERED) {
         tracing::warn!(event = "link_not_prepared", %error);
         return;
     }
@@ -169,7 +175,7 @@
             Ok(LinkMessage::Gateway(GatewayMessage::Hello { gateway, .. })) => {
                 return serve_gateway(stream, buffer, node, gateway).await;
             }
-            Ok(LinkMessage::Gateway(GatewayMessage::WantConfig)) => {
+            Ok(LinkMessage::Gateway(GatewayMessage::WantConfig { .. })) => {
                 tracing::warn!(event = "link_refused", reason = "a gateway must say hello first");
                 return;
             }
--- a/crates/mulberry-registry/src/settings.rs
+++ b/crates/mulberry-registry/src/settings.rs
@@ -2,6 +2,10 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
+
+/// Time for which sent bytes may stay without an answer of the peer's kernel, before its connection is lost.
+pub(crate) const UNANSWERED: Duration = Duration::from_millis(1_500);
 
 /// Settings of a registry.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/mulberry-routes/tests/routes.rs
+++ b/crates/mulberry-routes/tests/routes.rs
@@ -1,8 +1,8 @@
 //! Checks and lookups of configurations.
 
 use mulberry_routes::{
-    Backend, ConfigError, Denied, EngineTerms, RequestLimits, Route, RouteKind, RouteTable,
-    RoutingConfig, Service, Tenant,
+    Backend, ConfigDelta, ConfigError, Denied, EngineTerms, RequestLimits, Route, RouteKind,
+    RouteTable, RoutingConfig, Service, Tenant,
 };
 use proptest::prelude::*;
 
@@ -95,7 +95,7 @@
     the time limit of route short is 0; give it one of 1 ms or more
     the path prefix of route short must begin and end with a slash
     service s is listed twice; list it once
-    tenants t and u share a key; take it from one of them
+    tenants u and t share a key; take it from one of them
     ");
     assert_eq!(config().check(), Ok(()));
 }
@@ -134,3 +134,38 @@
         prop_assert_eq!(postcard::from_bytes::<RoutingConfig>(&bytes).expect("decodes"), config);
     }
 }
+
+#[test]
+fn a_delta_makes_the_later_configuration_of_the_earlier_one() {
+    let from = config();
+    let mut to = config();
+    to.version = 9;
+    to.routes.remove(0);
+    to.routes[0].time_limit_ms = 5;
+    to.routes.push(route("new", "i.example", "/"));
+    to.tenants[0].api_keys.remove(0);
+    let delta = ConfigDelta::between(&from, &to);
+    let by_name = |mut config: RoutingConfig| {
+        config.routes.sort_by(|a, b| a.name.cmp(&b.name));
+        config
+    };
+    assert_eq!(delta.apply(&from).map(by_name), Some(by_name(to.clone())));
+    assert_eq!(delta.apply(&to), None, "it starts from another version");
+}
+
+proptest! {
+    #[test]
+    fn deltas_between_any_routes_hold(before in prop::collection::vec(0u64..6, 0..6), after in prop::collection::vec(0u64..6, 0..6)) {
+        let with = |version: u64, limits: &[u64]| {
+            let routes = limits.iter().enumerate().filter(|(_, limit)| **limit > 0).map(|(index, limit)| Route {
+                time_limit_ms: *limit,
+                ..route(&format!("r{index}"), "h", &format!("/{index}/"))
+            });
+            RoutingConfig { version, routes: routes.collect(), ..config() }
+        };
+        let (from, to) = (with(1, &before), with(2, &after));
+        let mut made = ConfigDelta::between(&from, &to).apply(&from).expect("starts there");
+        made.routes.sort_by(|a, b| a.name.cmp(&b.name));
+        prop_assert_eq!(made, to);
+    }
+}
