--- a/crates/mulberry-directory/src/messages.rs
+++ b/crates/mulberry-directory/src/messages.rs
@@ -37,7 +37,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum GatewayMessage {
     /// The first message, and again when something of it changes.
-    Hello { gateway: GatewayInfo, config_version: u64 },
+    Hello { gateway: GatewayInfo },
 
     /// Asks for the configuration, because a registry told of a newer version than this gateway holds; 0 for none.
     WantConfig { above: u64 },
--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -488,6 +488,10 @@
                 if let Some(cold_ms) = fields.cold_ms {
                     self.shared.fleet.borrow_mut().set_cold(now_ms, target_id, cold_ms);
                 }
+                if let (Some(fault), Some(job)) = (fields.at_fault, &job) {
+                    let helpers = job.helpers().into_iter();
+                    self.excluded.extend(helpers.filter(|h| h.address == fault).map(|h| h.id));
+                }
                 if *status == 421 {
                     self.shared.health.borrow_mut().failed(now_ms, target_id);
                 }
--- a/crates/mulberry-gateway/src/exchange/choice.rs
+++ b/crates/mulberry-gateway/src/exchange/choice.rs
@@ -31,6 +31,9 @@
 /// Times the forecast of the first event that an engine gets at least.
 const FORECAST_SLACK: f64 = 1.5;
 
+/// Part of the ten ranks of engines that the priority of a route or tenant uses.
+const MAX_RANK_OF_ROUTE: u32 = 5;
+
 impl Exchange {
     /// Waits for the first target of the service to become known, as after a restart of everything.
     pub(super) async fn learn_targets(&self) {
@@ -104,7 +107,6 @@
             service: self.service.clone(),
             prompt_tokens: self.fields.prompt_tokens,
             answer_tokens: self.fields.answer_tokens,
-            priority: self.priority,
             aim_left_ms: left_ms(Duration::from_millis(self.route.aim_ms)),
             max_pause_ms: self.route.max_pause_ms,
             time_left_ms: (self.deadline - now).as_millis() as u64,
@@ -188,7 +190,10 @@
             deadline_ms: Some(left.as_millis() as u64),
             target_id: &chosen.target_id,
             tenant: self.tenant.as_deref(),
-            priority: chosen.job.as_ref().map(|_| engine_priority(self.fields.prompt_tokens)),
+            priority: chosen
+                .job
+                .as_ref()
+                .map(|_| engine_priority(self.fields.prompt_tokens, self.priority)),
             helpers: &chosen.helpers,
             last_event: relay.last_event(),
         };
@@ -212,11 +217,12 @@
     route.backends.first().map_or_else(|| "".into(), |backend| backend.service.clone())
 }
 
-/// Rank at the engine: short prompts are read before long ones.
-fn engine_priority(prompt_tokens: u64) -> u8 {
-    match prompt_tokens {
-        0..16_000 => 1,
-        16_000..64_000 => 3,
-        _ => 5,
-    }
+/// Rank at the engine: short prompts are read before long ones, and urgent routes and tenants before others.
+fn engine_priority(prompt_tokens: u64, priority: u32) -> u8 {
+    let by_length = match prompt_tokens {
+        0..16_000 => 0,
+        16_000..64_000 => 2,
+        _ => 4,
+    };
+    by_length + priority.min(MAX_RANK_OF_ROUTE) as u8
 }
--- a/crates/mulberry-gateway/src/registry_links.rs
+++ b/crates/mulberry-gateway/src/registry_links.rs
@@ -122,8 +122,7 @@
     loop {
         let info = shared.info();
         if sent_info.as_ref() != Some(&info) {
-            let config_version = shared.config_version();
-            let hello = GatewayMessage::Hello { gateway: info.clone(), config_version };
+            let hello = GatewayMessage::Hello { gateway: info.clone() };
             if let Err(reason) = send(&mut writer, hello).await {
                 return reason;
             }
--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -456,7 +456,7 @@
 
     pub(crate) fn gateway_message(&mut self, link: u64, message: GatewayMessage) {
         match message {
-            GatewayMessage::Hello { gateway, .. } => {
+            GatewayMessage::Hello { gateway } => {
                 self.gateways.update(link, gateway);
                 self.tell_gateways();
             }
--- a/crates/mulberry-registry/src/registry.rs
+++ b/crates/mulberry-registry/src/registry.rs
@@ -172,7 +172,7 @@
     loop {
         match read_frame::<LinkMessage<PeerMessage>>(&mut stream, &mut buffer).await {
             Ok(LinkMessage::Peer(message)) => node.borrow_mut().peer_message(message),
-            Ok(LinkMessage::Gateway(GatewayMessage::Hello { gateway, .. })) => {
+            Ok(LinkMessage::Gateway(GatewayMessage::Hello { gateway })) => {
                 return serve_gateway(stream, buffer, node, gateway).await;
             }
             Ok(LinkMessage::Gateway(GatewayMessage::WantConfig { .. })) => {
--- a/crates/mulberry-scheduler/src/job.rs
+++ b/crates/mulberry-scheduler/src/job.rs
@@ -21,9 +21,6 @@
     /// Tokens of the answer at most.
     pub answer_tokens: u64,
 
-    /// Rank; 0 is the most urgent.
-    pub priority: u32,
-
     /// Time until the first event within which the answer is on time, from now on.
     pub aim_left_ms: u64,
 
--- a/crates/mulberry-scheduler/tests/common/mod.rs
+++ b/crates/mulberry-scheduler/tests/common/mod.rs
@@ -58,7 +58,6 @@
         service: "pool".into(),
         prompt_tokens,
         answer_tokens: 1_600,
-        priority: 1,
         aim_left_ms: aim_ms,
         max_pause_ms,
         time_left_ms: 10_000,
