Split the engines of a service from the scheduler; name what was counted in tuples

No change of behaviour: a prompt over nine tenths of an engine's memory may borrow, as before; borrowing is also open to it when an engine is empty, where it fits without.

--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -166,12 +166,17 @@
     body: Vec<u8>,
     arrived: Instant,
 ) -> Next {
+    let fields = shared.dialect.caller_fields(&head.headers);
     if shared.takes_no_more.get() {
-        tracing::info!(event = "request_refused", status = 503, reason = "stopping");
+        tracing::info!(
+            event = "request_refused",
+            request_id = fields.request_id.as_deref().unwrap_or(""),
+            status = 503,
+            reason = "stopping"
+        );
         let given_up = GivenUp { status: 503, retry_after_ms: Some(STOPPING_RETRY_MS) };
         return send_own(client, &given_up, "this gateway stops; call another one", false).await;
     }
-    let fields = shared.dialect.caller_fields(&head.headers);
     if shared.table().is_none() {
         let limit = fields
             .deadline_ms
--- a/crates/mulberry-scheduler/src/lib.rs
+++ b/crates/mulberry-scheduler/src/lib.rs
@@ -8,6 +8,7 @@
 mod cost;
 mod engine_state;
 mod job;
+mod pool;
 mod scheduler;
 mod settings;
 
--- /dev/null
+++ b/crates/mulberry-scheduler/src/pool.rs
@@ -0,0 +1,284 @@
+//! Engines of one service, and the ways to place a request on them.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use mulberry_routes::{ColdLimit, EngineTerms};
+
+use crate::cost::{Bounds, value};
+use crate::engine_state::EngineState;
+use crate::scheduler::Job;
+use crate::{Helper, JobId, SchedulerSettings, Work};
+
+/// Cost of an engine in another zone, as a part of the request's value: its bytes cross between zones.
+const OTHER_ZONE_COST: f64 = 0.01;
+
+/// Cost of each engine that helps, which is disturbed in its passes.
+const HELPER_COST: f64 = 0.02;
+
+/// Cost of using an engine for a request with tight pauses that serves none yet, so that engines stay free for long
+/// prompts; for each request there already, it falls.
+const OPENING_COST: f64 = 0.5;
+
+/// Cost of a wait that is as long as the aim, as a part of the request's value, on time or not.
+const WAIT_COST: f64 = 0.1;
+
+/// Cost of a millisecond of reading while all engines read: what other prompts that wait for it are worth.
+const READ_MS_COST: f64 = 0.005;
+
+/// Backlog from which on an engine counts as wholly busy.
+const BUSY_BACKLOG_MS: f64 = 400.0;
+
+/// Time over which the part of busy engines is averaged.
+const SHARE_MEMORY_MS: f64 = 1_000.0;
+
+/// Cost of a prompt that lies at other engines as a whole; lending takes orders to each of them.
+const BORROWING_COST: f64 = 1.0;
+
+/// Part of an engine's memory that a prompt must need before it borrows: smaller ones wait for an engine with room,
+/// since each loan takes orders to several engines.
+const BORROWING_SHARE: f64 = 0.9;
+
+/// Tokens of a prompt that its holder has room for at least.
+const MIN_HELD_TOKENS: u64 = 4_096;
+
+/// Unit in which memory is lent.
+const LENT_BLOCK_TOKENS: u64 = 64;
+
+/// Part of the reading at an engine that still goes on when a request placed now begins to write there.
+const READ_ON: f64 = 0.5;
+
+/// Cost of each part that an engine reads already: requests that are read one after the other there begin to write in
+/// the pauses of each other.
+const TURN_COST: f64 = 0.05;
+
+/// Requests with tight pauses on one engine up to which they are kept together.
+const PACKED_REQUESTS: f64 = 10.0;
+
+/// Engines of one service.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    pub terms: EngineTerms,
+    pub cold: Option<ColdLimit>,
+    pub engines: BTreeMap<Arc<str>, EngineState>,
+
+    /// Part of the engines that have been reading lately, from 0 to 1, and when it was last brought up to date.
+    pub reading_share: f64,
+    pub share_at_ms: u64,
+}
+
+/// An engine as a candidate for one request.
+#[derive(Debug)]
+pub(crate) struct Candidate {
+    id: Arc<str>,
+    pass_ms: f64,
+
+    /// Whether it may write the answer.
+    may_write: bool,
+
+    /// Memory that is left.
+    free_tokens: u64,
+
+    /// Cost of holding the request there beside all others.
+    hold_cost: f64,
+}
+
+/// A candidate for one part of a prompt.
+#[derive(Debug)]
+struct Scored<'a> {
+    cost: f64,
+
+    /// Time until it has read the part.
+    end_ms: f64,
+
+    /// What the part costs those who are there.
+    harm: f64,
+
+    candidate: &'a Candidate,
+}
+
+/// A way to place a request.
+#[derive(Debug)]
+pub(crate) struct Plan {
+    pub first: Arc<str>,
+    pub helpers: Vec<Helper>,
+    pub first_event_ms: f64,
+    pub cost: f64,
+
+    /// The part of the cost that only keeps requests of a kind together, and is no reason to refuse one.
+    pub order_cost: f64,
+}
+
+impl Pool {
+    pub(crate) fn candidates(
+        &mut self,
+        now_ms: u64,
+        work: &Work,
+        settings: &SchedulerSettings,
+    ) -> Vec<Candidate> {
+        let terms = &self.terms;
+        let cold = self.cold;
+        let max_requests = (f64::from(terms.slots) * settings.slot_share).max(1.0);
+        let max_tokens = (terms.memory_tokens as f64 * settings.memory_share) as u64;
+        let mut candidates = Vec::with_capacity(self.engines.len());
+        for engine in self.engines.values_mut() {
+            if engine.is_suspended(now_ms) || work.excluded.contains(&engine.id) {
+                continue;
+            }
+            let share = if engine.cold_until_ms > now_ms {
+                settings.cold_share
+            } else {
+                settings.warm_share
+            };
+            let is_cold_full = engine.is_cold_full(now_ms, cold, share, settings);
+            let kin = engine.held_with_pause(work.max_pause_ms) as f64;
+            let opening = OPENING_COST * (1.0 - (kin / PACKED_REQUESTS).min(1.0));
+            let crowd = (engine.held_requests() as f64 / max_requests).powi(3) * OPENING_COST;
+            let turns = engine.reading_parts() as f64 * TURN_COST;
+            let distance = if engine.zone == work.zone {
+                0.0
+            } else {
+                OTHER_ZONE_COST * value(work.prompt_tokens)
+            };
+            candidates.push(Candidate {
+                id: engine.id.clone(),
+                pass_ms: engine.pass_ms(terms),
+                may_write: (engine.held_requests() as f64) < max_requests && !is_cold_full,
+                free_tokens: max_tokens.saturating_sub(engine.used_tokens()),
+                hold_cost: opening + crowd + distance + turns,
+            });
+        }
+        candidates
+    }
+
+    /// The best way to read the prompt on `size` engines.
+    pub(crate) fn plan(
+        &self,
+        now_ms: u64,
+        work: &Work,
+        candidates: &[Candidate],
+        size: usize,
+        jobs: &HashMap<JobId, Job>,
+    ) -> Option<Plan> {
+        let part_ms = self.terms.read_ms(work.prompt_tokens) / size as f64;
+        let worth = value(work.prompt_tokens);
+        let bounds = bounds(work);
+        let aim_ms = bounds.aim_ms;
+        let own_loss = |end_ms: f64| {
+            worth * bounds.loss(end_ms) + worth * WAIT_COST * (end_ms / aim_ms.max(1.0)).min(3.0)
+        };
+        // When each engine has read its part, and what that costs those who are there.
+        let score = |candidate: &Candidate, is_helper: bool| {
+            let engine = &self.engines[&candidate.id];
+            let end_ms = engine.read_end_ms(now_ms, part_ms, candidate.pass_ms, is_helper);
+            let displaced = is_helper.then_some(jobs);
+            (end_ms, engine.harm(now_ms, part_ms, candidate.pass_ms, displaced))
+        };
+        let tokens = work.prompt_tokens + work.answer_tokens;
+        let may_borrow =
+            size > 1 && tokens as f64 > self.terms.memory_tokens as f64 * BORROWING_SHARE;
+        let has_room = |candidate: &&Candidate| {
+            let needed = if may_borrow { work.answer_tokens + MIN_HELD_TOKENS } else { tokens };
+            candidate.may_write && candidate.free_tokens >= needed
+        };
+        let holder = candidates
+            .iter()
+            .filter(has_room)
+            .map(|candidate| {
+                let (end_ms, harm) = score(candidate, false);
+                let borrowing = tokens.saturating_sub(candidate.free_tokens) as f64 / tokens as f64;
+                let cost = own_loss(end_ms + candidate.pass_ms)
+                    + harm
+                    + candidate.hold_cost
+                    + borrowing * BORROWING_COST
+                    + self.pause_loss(now_ms, work, candidate);
+                Scored { cost, end_ms, harm, candidate }
+            })
+            .min_by(|a, b| a.cost.total_cmp(&b.cost))?;
+        let Scored { cost: holder_cost, end_ms: holder_end_ms, candidate: holder, .. } = holder;
+        let mut helpers: Vec<Scored<'_>> = candidates
+            .iter()
+            .filter(|candidate| candidate.id != holder.id)
+            .map(|candidate| {
+                let (end_ms, harm) = score(candidate, true);
+                Scored { cost: own_loss(end_ms) + harm, end_ms, harm, candidate }
+            })
+            .collect();
+        helpers.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        helpers.truncate(size - 1);
+        let lent = lend(tokens, holder, &helpers)?;
+        let read_end_ms = helpers.iter().map(|helper| helper.end_ms).fold(holder_end_ms, f64::max);
+        let harm: f64 = helpers.iter().map(|helper| helper.harm).sum();
+        // The first event holds the tokens of one whole pass.
+        let first_event_ms =
+            read_end_ms + self.terms.pass_ms(1, work.prompt_tokens).max(holder.pass_ms);
+        let cost = own_loss(first_event_ms) - own_loss(holder_end_ms + holder.pass_ms)
+            + holder_cost
+            + harm
+            + HELPER_COST * helpers.len() as f64
+            + self.terms.read_ms(work.prompt_tokens) * READ_MS_COST * self.reading_share.powi(2);
+        let helpers = helpers.iter().zip(lent).map(|(helper, lent_tokens)| Helper {
+            engine: helper.candidate.id.clone(),
+            lent_tokens,
+        });
+        Some(Plan {
+            first: holder.id.clone(),
+            helpers: helpers.collect(),
+            first_event_ms,
+            cost,
+            order_cost: holder.hold_cost,
+        })
+    }
+
+    /// Brings the part of the engines that are reading up to date.
+    pub(crate) fn update_reading_share(&mut self, now_ms: u64) {
+        if self.engines.is_empty() {
+            return;
+        }
+        let busy: f64 = self
+            .engines
+            .values()
+            .map(|engine| (engine.backlog_ms(now_ms) / BUSY_BACKLOG_MS).min(1.0))
+            .sum();
+        let share = busy / self.engines.len() as f64;
+        let passed_ms = now_ms.saturating_sub(self.share_at_ms) as f64;
+        self.share_at_ms = now_ms;
+        let weight = 1.0 - (-passed_ms / SHARE_MEMORY_MS).exp();
+        self.reading_share += (share - self.reading_share) * weight;
+    }
+
+    /// What the reading that goes on at an engine costs a request that writes there.
+    fn pause_loss(&self, now_ms: u64, work: &Work, candidate: &Candidate) -> f64 {
+        if work.max_pause_ms == 0 {
+            return 0.0;
+        }
+        let pause_ms = candidate.pass_ms + self.engines[&candidate.id].backlog_ms(now_ms) * READ_ON;
+        value(work.prompt_tokens) * Bounds::of_pause(work.max_pause_ms).loss(pause_ms)
+    }
+}
+
+/// Memory that each helper lends to a prompt that does not fit its holder; `None` when all of it is not enough.
+fn lend(tokens: u64, holder: &Candidate, helpers: &[Scored<'_>]) -> Option<Vec<u64>> {
+    if tokens <= holder.free_tokens {
+        return Some(vec![0; helpers.len()]);
+    }
+    let lacking = tokens - holder.free_tokens;
+    let free: Vec<u64> = helpers.iter().map(|helper| helper.candidate.free_tokens).collect();
+    let total: u64 = free.iter().sum();
+    if total < lacking {
+        return None;
+    }
+    // Each lends in proportion to what it has, rounded up to whole blocks.
+    let share = lacking as f64 / total as f64;
+    let lent = |free: u64| {
+        let tokens = (free as f64 * share).ceil() as u64;
+        tokens.next_multiple_of(LENT_BLOCK_TOKENS).min(free)
+    };
+    let lent: Vec<u64> = free.into_iter().map(lent).collect();
+    (lent.iter().sum::<u64>() >= lacking).then_some(lent)
+}
+
+/// Until when an answer to `work` is of use.
+pub(crate) fn bounds(work: &Work) -> Bounds {
+    Bounds::new(work.aim_left_ms, work.max_pause_ms, work.time_left_ms)
+}
