Serve those who waited for a restart shortest prompt first; deny nothing unconfirmed

Gateways that heard a registry recall version 66 answered 401 to keys of version 68. A gateway tried a machine without power for 500 ms.

Change: requests that waited for a configuration or engines are placed by the length of their prompt, over 150 ms; a denial waits until a registry whose group has a leader has confirmed the version, and is a 503 otherwise; connections to registries are tried for 200 ms, every 50 ms without any link.

Ruled out: the start of the processes themselves (gateways 1.6 s after the loss, registries 0.5 s later, set by the machines).

--- a/crates/mulberry-directory/src/messages.rs
+++ b/crates/mulberry-directory/src/messages.rs
@@ -53,7 +53,12 @@
     ConfigDelta(Arc<ConfigDelta>),
 
     /// Version that this registry knows to be accepted; also the sign of life of an idle link.
-    Version(u64),
+    Version {
+        version: u64,
+
+        /// Whether the group has confirmed it since this registry's start. Until then a newer one may be accepted.
+        is_confirmed: bool,
+    },
 
     /// Zones that get nothing new, as of an index of the replicated log.
     Evacuated { index: u64, zones: Vec<Arc<str>> },
--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -104,6 +104,9 @@
     forecast_ms: u64,
 
     reason: String,
+
+    /// Whether it waited for a configuration or a target to become known.
+    has_waited: bool,
 }
 
 /// What a target was asked and has begun to answer.
@@ -177,18 +180,23 @@
         let given_up = GivenUp { status: 503, retry_after_ms: Some(STOPPING_RETRY_MS) };
         return send_own(client, &given_up, "this gateway stops; call another one", false).await;
     }
-    if shared.table().is_none() {
+    let is_certain = || {
+        let Some(table) = shared.table() else { return false };
+        shared.is_config_confirmed() || find_target(&table, &head, &fields).is_ok()
+    };
+    let has_waited = !is_certain();
+    if has_waited {
         let limit = fields
             .deadline_ms
             .map_or(LEARNING, |ms| LEARNING.min(Duration::from_millis(ms).mul_f64(LEARNING_SHARE)));
         tokio::select! {
-            () = wait_until(shared, arrived + limit, || shared.table().is_some()) => {}
+            () = wait_until(shared, arrived + limit, is_certain) => {}
             () = client.wait_closed() => return Next::Close,
         }
     }
     let keeps_alive = head.keeps_alive() && !shared.is_stopping.get();
     let mut exchange = match Exchange::new(shared, head, body, fields, arrived) {
-        Ok(exchange) => exchange,
+        Ok(exchange) => Exchange { has_waited, ..exchange },
         Err(refused) => {
             let given_up =
                 GivenUp { status: refused.status, retry_after_ms: refused.retry_after_ms };
@@ -199,6 +207,16 @@
     exchange.run(client, keeps_alive).await
 }
 
+/// The route and tenant of a request.
+fn find_target<'a>(
+    table: &'a RouteTable,
+    head: &RequestHead,
+    fields: &CallerFields,
+) -> Result<Target<'a>, Denied> {
+    let host = head.headers.text("host").unwrap_or_default();
+    table.find(host, head.path(), fields.api_key.as_deref())
+}
+
 /// Waits until something has become known, at most until `limit`.
 async fn wait_until(shared: &Shared, limit: Instant, is_known: impl Fn() -> bool) {
     loop {
@@ -254,9 +272,12 @@
         let Some(table) = table else {
             return Err(refused(503, Some(NO_TARGET_RETRY_MS), "no configuration is known yet"));
         };
-        let host = head.headers.text("host").unwrap_or_default().to_owned();
-        let found = table.find(&host, head.path(), fields.api_key.as_deref());
+        let is_confirmed = shared.is_config_confirmed();
+        let found = find_target(&table, &head, &fields);
         let Target { route, tenant } = found.map_err(|denied| match denied {
+            _ if !is_confirmed => {
+                refused(503, Some(NO_TARGET_RETRY_MS), "the configuration is not confirmed yet")
+            }
             Denied::NoRoute => refused(404, None, "no route matches the host and path"),
             Denied::UnknownKey => refused(401, None, "the key is none of a tenant"),
         })?;
@@ -287,6 +308,7 @@
             helpers: 0,
             forecast_ms: 0,
             reason: String::new(),
+            has_waited: false,
             route,
         })
     }
--- a/crates/mulberry-gateway/src/exchange/choice.rs
+++ b/crates/mulberry-gateway/src/exchange/choice.rs
@@ -28,6 +28,13 @@
 /// Placements that may fail because an engine does not lend its memory.
 const MAX_LOAN_REFUSALS: usize = 2;
 
+/// Wait of the longest prompts after an outage: gateways learn of the engines within about this time of each other, and
+/// a long prompt that is placed first keeps every engine from the short ones of the others.
+const LAST_TURN: Duration = Duration::from_millis(150);
+
+/// Prompt tokens from which on a prompt is among the longest.
+const LAST_TURN_TOKENS: f64 = 100_000.0;
+
 /// Times the forecast of the first event that an engine gets at least.
 const FORECAST_SLACK: f64 = 1.5;
 
@@ -36,7 +43,7 @@
 
 impl Exchange {
     /// Waits for the first target of the service to become known, as after a restart of everything.
-    pub(super) async fn learn_targets(&self) {
+    pub(super) async fn learn_targets(&mut self) {
         let has_targets = || self.shared.fleet.borrow().usable(&self.service).next().is_some();
         if self.sends > 0 || has_targets() {
             return;
@@ -44,6 +51,16 @@
         let time = self.deadline - self.arrived;
         let limit = self.arrived + LEARNING.min(time.mul_f64(LEARNING_SHARE));
         wait_until(&self.shared, limit, has_targets).await;
+        self.has_waited = true;
+    }
+
+    /// Lets shorter prompts go first among those that waited for the same.
+    async fn take_turn(&mut self) {
+        if std::mem::take(&mut self.has_waited) {
+            let share = (self.fields.prompt_tokens as f64 / LAST_TURN_TOKENS).min(1.0);
+            let limit = self.deadline.min(Instant::now() + LAST_TURN.mul_f64(share));
+            tokio::time::sleep_until(limit).await;
+        }
     }
 
     /// Chooses a target for the next attempt.
@@ -71,6 +88,7 @@
     }
 
     async fn choose_engine(&mut self) -> Result<Chosen, GivenUp> {
+        self.take_turn().await;
         for _ in 0..=MAX_LOAN_REFUSALS {
             let job = self.place().await?;
             let lenders = job.helpers();
--- a/crates/mulberry-gateway/src/registry_links.rs
+++ b/crates/mulberry-gateway/src/registry_links.rs
@@ -21,12 +21,16 @@
 use crate::settings::PEER_UNANSWERED;
 use crate::shared::Shared;
 
-/// Time for a connection to a registry to be made.
-const CONNECT: Duration = Duration::from_millis(500);
+/// Time for a connection to a registry to be made; many times the way between zones, and short against the wait of a
+/// caller, as the first packet is lost while a machine is without power.
+const CONNECT: Duration = Duration::from_millis(200);
 
 /// Pause before the next attempt.
 const RECONNECT: Duration = Duration::from_millis(200);
 
+/// The same while no registry is linked: callers wait for it.
+const FIRST_RECONNECT: Duration = Duration::from_millis(50);
+
 /// Time without a message after which a link counts as lost; a registry sends one every 700 ms.
 const SILENCE: Duration = Duration::from_millis(2_200);
 
@@ -102,7 +106,7 @@
                 links = shared.links.get()
             );
         }
-        sleep(RECONNECT).await;
+        sleep(if shared.links.get() == 0 { FIRST_RECONNECT } else { RECONNECT }).await;
     }
 }
 
@@ -163,7 +167,10 @@
                 None => return Some(GatewayMessage::WantConfig { above: 0 }),
             }
         }
-        RegistryMessage::Version(version) => {
+        RegistryMessage::Version { version, is_confirmed } => {
+            if is_confirmed {
+                shared.set_confirmed(version);
+            }
             if shared.is_config_wanted(version) {
                 return Some(GatewayMessage::WantConfig { above: shared.config_version() });
             }
--- a/crates/mulberry-gateway/src/shared.rs
+++ b/crates/mulberry-gateway/src/shared.rs
@@ -44,6 +44,9 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
 
+    /// Version that a registry has confirmed, if any has since the start.
+    confirmed: Cell<Option<u64>>,
+
     /// Version that was asked for last, and when.
     asked: Cell<(u64, u64)>,
 
@@ -76,6 +79,7 @@
             changed: Notify::new(),
             table: RefCell::default(),
             budgets: RefCell::default(),
+            confirmed: Cell::default(),
             asked: Cell::default(),
             started: Instant::now(),
             started_wall_ms: since.as_millis() as u64,
@@ -106,6 +110,21 @@
         self.table.borrow().as_ref().map_or(0, |table| table.version())
     }
 
+    /// Whether the configuration in force has been confirmed since the start. A registry that has just started may
+    /// know an old one.
+    pub(crate) fn is_config_confirmed(&self) -> bool {
+        self.confirmed.get().is_some_and(|version| version <= self.config_version())
+    }
+
+    /// A registry has confirmed that `version` was the newest one.
+    pub(crate) fn set_confirmed(&self, version: u64) {
+        if self.confirmed.get().is_none() {
+            tracing::info!(event = "config_confirmed", version, held = self.config_version());
+            self.confirmed.set(Some(version));
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Whether a configuration of this version should be asked for now. Several registries tell of it at once.
     pub(crate) fn is_config_wanted(&self, version: u64) -> bool {
         let (asked_version, asked_ms) = self.asked.get();
--- a/crates/mulberry-gateway/tests/common/mod.rs
+++ b/crates/mulberry-gateway/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use mulberry_directory::{TargetRecord, TargetState};
+use mulberry_directory::{RegistryMessage, TargetRecord, TargetState, encode_frame};
 use mulberry_gateway::{
     AnswerFields, CallerFields, Dialect, ForwardFields, Gateway, GatewaySettings, TargetCall,
 };
@@ -146,6 +146,51 @@
     [127, 20 + process as u8, FLEETS.fetch_add(1, Ordering::Relaxed), 1]
 }
 
+fn start_gateway(ip: [u8; 4], registry: SocketAddr) -> Running {
+    let at = |port: u16| SocketAddr::from((ip, port));
+    let settings = GatewaySettings {
+        caller_address: at(7_300),
+        ready_address: at(7_301),
+        gateway_address: at(7_302),
+        seeds: vec![registry],
+        stop_ms: 5_000,
+        ..GatewaySettings::default()
+    };
+    Running::start(move |stopped| async move {
+        let (_seeds, changed) = unbounded_channel();
+        let stop = async {
+            let _ = stopped.await;
+        };
+        let gateway = Gateway::new(settings, Rc::new(PlainDialect));
+        gateway.run(stop, changed).await.expect("runs");
+    })
+}
+
+/// A gateway and a registry that tells it what the test says.
+pub struct ToldGateway {
+    pub callers: SocketAddr,
+    link: TcpStream,
+    _gateway: Running,
+}
+
+impl ToldGateway {
+    pub fn start() -> ToldGateway {
+        let ip = own_ip();
+        let listener = TcpListener::bind(SocketAddr::from((ip, 7_201))).expect("binds");
+        let gateway = start_gateway(ip, listener.local_addr().expect("bound"));
+        let (link, _) = listener.accept().expect("the gateway connects");
+        let callers = SocketAddr::from((ip, 7_300));
+        until("the port is open", || TcpStream::connect(callers).is_ok());
+        ToldGateway { callers, link, _gateway: gateway }
+    }
+
+    pub fn tell(&mut self, message: &RegistryMessage) {
+        let mut bytes = Vec::new();
+        encode_frame(message, &mut bytes).expect("encodes");
+        self.link.write_all(&bytes).expect("the gateway listens");
+    }
+}
+
 /// One registry and one gateway.
 pub struct Fleet {
     pub callers: SocketAddr,
@@ -236,22 +281,7 @@
             registry.run(stop, changed).await.expect("runs");
         });
         let (callers, ready) = (at(7_300), at(7_301));
-        let settings = GatewaySettings {
-            caller_address: callers,
-            ready_address: ready,
-            gateway_address: at(7_302),
-            seeds: vec![link],
-            stop_ms: 5_000,
-            ..GatewaySettings::default()
-        };
-        let gateway = Running::start(move |stopped| async move {
-            let (_seeds, changed) = unbounded_channel();
-            let stop = async {
-                let _ = stopped.await;
-            };
-            let gateway = Gateway::new(settings, Rc::new(PlainDialect));
-            gateway.run(stop, changed).await.expect("runs");
-        });
+        let gateway = start_gateway(ip, link);
         Fleet {
             callers,
             ready,
@@ -286,17 +316,7 @@
     }
 
     pub fn announce(&self, target: &Target, state: TargetState, sequence: u64) {
-        self.call(PublicCall::Announce(TargetRecord {
-            id: target.id.into(),
-            born_ms: 1,
-            sequence,
-            service: "s".into(),
-            address: target.address,
-            zone: "z".into(),
-            slots: 8,
-            state,
-            cold_left_ms: 0,
-        }));
+        self.call(PublicCall::Announce(target.record(state, sequence)));
     }
 
     /// Hands a call to the registry and waits until it is accepted.
@@ -451,6 +471,20 @@
         Target { id, address, seen, closed, _listener: listener }
     }
 
+    pub fn record(&self, state: TargetState, sequence: u64) -> TargetRecord {
+        TargetRecord {
+            id: self.id.into(),
+            born_ms: 1,
+            sequence,
+            service: "s".into(),
+            address: self.address,
+            zone: "z".into(),
+            slots: 8,
+            state,
+            cold_left_ms: 0,
+        }
+    }
+
     /// Heads and bodies of the requests that came.
     pub fn seen(&self) -> Vec<String> {
         self.seen.lock().expect("not poisoned").clone()
--- /dev/null
+++ b/crates/mulberry-gateway/tests/starting.rs
@@ -0,0 +1,71 @@
+//! A gateway that has just started, as after a loss of power of everything.
+
+mod common;
+
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use common::{
+    Act, Reply, Target, ToldGateway, answer, config, engine_config, events, exchange, request,
+    stream_head, until,
+};
+use mulberry_directory::{RegistryMessage, TargetState};
+
+fn confirmed(version: u64) -> RegistryMessage {
+    RegistryMessage::Version { version, is_confirmed: true }
+}
+
+/// Sends a request on a thread of its own and gives it time to arrive.
+fn call(gateway: &ToldGateway, path: &'static str, fields: &'static str) -> JoinHandle<Reply> {
+    let callers = gateway.callers;
+    let call = std::thread::spawn(move || exchange(callers, &request("GET", path, fields, "")));
+    std::thread::sleep(Duration::from_millis(50));
+    call
+}
+
+#[test]
+fn what_an_old_configuration_does_not_allow_waits_for_the_newest() {
+    let target = Target::start("one", vec![Act::Send(answer(200, "one"))]);
+    let mut gateway = ToldGateway::start();
+    let mut old = config(5);
+    old.routes.retain(|route| &*route.path_prefix != "/safe/");
+    // As a registry that has lost power recalls it from its notes.
+    gateway.tell(&RegistryMessage::Config(Arc::new(old)));
+    gateway.tell(&RegistryMessage::Version { version: 5, is_confirmed: false });
+    gateway.tell(&RegistryMessage::Targets(vec![target.record(TargetState::Ready, 1)]));
+    let early = call(&gateway, "/safe/", "");
+    let unknown = call(&gateway, "/nowhere/", "");
+    gateway.tell(&RegistryMessage::Config(Arc::new(config(7))));
+    assert_eq!(early.join().expect("no panic").body, "one");
+    gateway.tell(&confirmed(7));
+    assert_eq!(unknown.join().expect("no panic").status, 404);
+    let begin = Instant::now();
+    assert_eq!(call(&gateway, "/nowhere/", "").join().expect("no panic").status, 404);
+    assert!(begin.elapsed() < Duration::from_secs(1), "it is certain now");
+}
+
+#[test]
+fn what_nobody_confirms_is_refused_for_a_while_and_not_for_good() {
+    let mut gateway = ToldGateway::start();
+    gateway.tell(&RegistryMessage::Config(Arc::new(config(5))));
+    let refused = call(&gateway, "/nowhere/", "Deadline-Ms: 1000\r\n").join().expect("no panic");
+    assert_eq!(refused.status, 503);
+    assert!(refused.head.contains("Retry-After: 0.400"), "{}", refused.head);
+}
+
+#[test]
+fn those_who_waited_for_engines_go_shortest_prompt_first() {
+    let stream = format!("{}{}0\r\n\r\n", stream_head(), events(1..=1));
+    let target = Target::start("one", vec![Act::Send(stream)]);
+    let mut gateway = ToldGateway::start();
+    let long = call(&gateway, "/stream/", "Request-Id: long\r\nPrompt-Tokens: 50000\r\n");
+    let short = call(&gateway, "/stream/", "Request-Id: short\r\nPrompt-Tokens: 1000\r\n");
+    gateway.tell(&RegistryMessage::Targets(vec![target.record(TargetState::Ready, 1)]));
+    gateway.tell(&RegistryMessage::Config(Arc::new(engine_config(1))));
+    gateway.tell(&confirmed(1));
+    until("both have come", || target.seen().len() == 2);
+    let seen = target.seen();
+    assert!(seen[0].contains("short") && seen[1].contains("long"), "{seen:?}");
+    drop((long.join(), short.join()));
+}
--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -93,6 +93,12 @@
     /// What gateways were told last: version, index of the evacuated zones.
     told: (u64, u64),
 
+    /// Whether gateways were told last that the version is confirmed.
+    told_confirmed: bool,
+
+    /// Index of the last entry that was on the disk at the start.
+    recovered_index: u64,
+
     next_ticket: u64,
     proposals: HashMap<u64, oneshot::Sender<bool>>,
     index_calls: HashMap<u64, oneshot::Sender<Option<u64>>>,
@@ -142,6 +148,8 @@
             recent_configs: VecDeque::new(),
             delta: None,
             told: (0, 0),
+            told_confirmed: false,
+            recovered_index: 0,
             next_ticket: 0,
             proposals: HashMap::new(),
             index_calls: HashMap::new(),
@@ -336,6 +344,19 @@
         }
     }
 
+    /// Whether the group has a leader and has confirmed what this registry had on its disk at its start.
+    fn is_confirmed(&self) -> bool {
+        self.replica.as_ref().is_some_and(|replica| {
+            let applied = replica.state.applied_index;
+            let noted = self.noted.as_ref().map_or(0, |noted| noted.applied_index);
+            replica.raft.leader().is_some() && applied >= self.recovered_index.max(noted)
+        })
+    }
+
+    fn version_message(&self) -> RegistryMessage {
+        RegistryMessage::Version { version: self.told.0, is_confirmed: self.is_confirmed() }
+    }
+
     /// Time without an announcement after which a target counts as silent.
     fn silent_after_ms(&self) -> u64 {
         SILENT_ANNOUNCEMENTS * self.settings.announce_ms + GOSSIP_MS
@@ -443,7 +464,7 @@
         for message in [
             RegistryMessage::Registries(self.registries()),
             RegistryMessage::Evacuated { index, zones },
-            RegistryMessage::Version(version),
+            RegistryMessage::Version { version, is_confirmed: self.is_confirmed() },
             RegistryMessage::Targets(targets),
             RegistryMessage::Silent(self.told_silent.clone()),
             RegistryMessage::Gateways(self.all_gateways()),
@@ -529,6 +550,7 @@
             last_index = raft.last_index(),
             voters = raft.members().voters.len()
         );
+        self.recovered_index = raft.last_index();
         self.replica = Some(Replica {
             raft,
             state: OperatorState::default(),
@@ -633,6 +655,8 @@
         if now > self.told {
             self.note_due_ms.get_or_insert(self.now_ms() + NOTE_MS);
         }
+        let mut is_news = self.is_confirmed() != self.told_confirmed;
+        self.told_confirmed = self.is_confirmed();
         if now.0 > self.told.0 {
             self.told.0 = now.0;
             self.recent_configs.extend(config);
@@ -641,7 +665,10 @@
             }
             self.metrics.config_version.set(i64::try_from(now.0).unwrap_or(i64::MAX));
             tracing::info!(event = "config_in_force", version = now.0, index);
-            self.gateways.send_all(&RegistryMessage::Version(now.0));
+            is_news = true;
+        }
+        if is_news {
+            self.gateways.send_all(&self.version_message());
         }
         if now.1 > self.told.1 {
             self.told.1 = now.1;
--- a/crates/mulberry-registry/src/node/gossip.rs
+++ b/crates/mulberry-registry/src/node/gossip.rs
@@ -98,7 +98,7 @@
             self.told_registries.clone_from(&registries);
             self.gateways.send_all(&RegistryMessage::Registries(registries));
         }
-        self.gateways.send_all(&RegistryMessage::Version(self.told.0));
+        self.gateways.send_all(&self.version_message());
     }
 
     pub(super) fn tell_targets(&mut self, records: Vec<TargetRecord>) {
