After an outage, serve those who may still be on time before those who are late

Load: all machines lose power; callers wait or come again.

Cause: shortest prompt first also put short requests that were late already before long ones that could still be on time; in the two seconds of the fault long prompts hold near half of the value.

Change: among those who waited, requests past their aim, or whose deadline shows an earlier call, take the last turn.

--- a/crates/mulberry-gateway/src/exchange/choice.rs
+++ b/crates/mulberry-gateway/src/exchange/choice.rs
@@ -28,12 +28,18 @@
 /// Placements that may fail because an engine does not lend its memory.
 const MAX_LOAN_REFUSALS: usize = 2;
 
-/// Wait of the longest prompts after an outage: gateways learn of the engines within about this time of each other, and
-/// a long prompt that is placed first keeps every engine from the short ones of the others.
+/// Wait of the last after an outage: gateways learn of the engines within about this time of each other, and a long
+/// prompt that is placed first keeps every engine from the short ones of the others.
 const LAST_TURN: Duration = Duration::from_millis(150);
 
+/// The same of the longest prompt that may still be on time, as a part of it.
+const LAST_ON_TIME: f64 = 0.6;
+
 /// Prompt tokens from which on a prompt is among the longest.
-const LAST_TURN_TOKENS: f64 = 100_000.0;
+const LONGEST_TOKENS: f64 = 100_000.0;
+
+/// Part of a route's time below which a caller that has less left has likely called before.
+const FIRST_CALL_SHARE: f64 = 0.8;
 
 /// Times the forecast of the first event that an engine gets at least.
 const FORECAST_SLACK: f64 = 1.5;
@@ -54,13 +60,29 @@
         self.has_waited = true;
     }
 
-    /// Lets shorter prompts go first among those that waited for the same.
+    /// Lets those that may still be on time go first among those that waited for the same, shorter prompts before
+    /// longer ones, then those that are late.
     async fn take_turn(&mut self) {
-        if std::mem::take(&mut self.has_waited) {
-            let share = (self.fields.prompt_tokens as f64 / LAST_TURN_TOKENS).min(1.0);
-            let limit = self.deadline.min(Instant::now() + LAST_TURN.mul_f64(share));
-            tokio::time::sleep_until(limit).await;
+        if !std::mem::take(&mut self.has_waited) {
+            return;
         }
+        let now = Instant::now();
+        let share = if self.is_late(now) {
+            1.0
+        } else {
+            let length = self.fields.prompt_tokens as f64 / LONGEST_TOKENS;
+            length.min(1.0) * LAST_ON_TIME
+        };
+        let turn = now + LAST_TURN.mul_f64(share);
+        tokio::time::sleep_until(turn.min(self.deadline)).await;
+    }
+
+    /// Whether the answer is late already. A caller that comes again has less time left than its route gives.
+    fn is_late(&self, now: Instant) -> bool {
+        let is_again = self.fields.deadline_ms.is_some_and(|left_ms| {
+            (left_ms as f64) < self.route.time_limit_ms as f64 * FIRST_CALL_SHARE
+        });
+        is_again || now - self.arrived > Duration::from_millis(self.route.aim_ms)
     }
 
     /// Chooses a target for the next attempt.
--- a/crates/mulberry-gateway/tests/starting.rs
+++ b/crates/mulberry-gateway/tests/starting.rs
@@ -54,18 +54,35 @@
     assert!(refused.head.contains("Retry-After: 0.400"), "{}", refused.head);
 }
 
-#[test]
-fn those_who_waited_for_engines_go_shortest_prompt_first() {
+/// Calls a gateway that knows no engine yet, in this order, and returns the order in which the engine gets them.
+fn order_after_outage(calls: [&'static str; 2]) -> Vec<String> {
     let stream = format!("{}{}0\r\n\r\n", stream_head(), events(1..=1));
     let target = Target::start("one", vec![Act::Send(stream)]);
     let mut gateway = ToldGateway::start();
-    let long = call(&gateway, "/stream/", "Request-Id: long\r\nPrompt-Tokens: 50000\r\n");
-    let short = call(&gateway, "/stream/", "Request-Id: short\r\nPrompt-Tokens: 1000\r\n");
+    let calls = calls.map(|fields| call(&gateway, "/stream/", fields));
     gateway.tell(&RegistryMessage::Targets(vec![target.record(TargetState::Ready, 1)]));
-    gateway.tell(&RegistryMessage::Config(Arc::new(engine_config(1))));
+    let mut config = engine_config(1);
+    // Nobody gets late by the time that the test takes.
+    config.routes.iter_mut().for_each(|route| route.aim_ms = 60_000);
+    gateway.tell(&RegistryMessage::Config(Arc::new(config)));
     gateway.tell(&confirmed(1));
     until("both have come", || target.seen().len() == 2);
-    let seen = target.seen();
+    calls.into_iter().for_each(|call| drop(call.join()));
+    target.seen()
+}
+
+#[test]
+fn those_who_waited_for_engines_go_shortest_prompt_first() {
+    let long = "Request-Id: long\r\nPrompt-Tokens: 50000\r\n";
+    let seen = order_after_outage([long, "Request-Id: short\r\nPrompt-Tokens: 1000\r\n"]);
     assert!(seen[0].contains("short") && seen[1].contains("long"), "{seen:?}");
-    drop((long.join(), short.join()));
+}
+
+#[test]
+fn those_who_are_late_already_go_after_those_who_are_not() {
+    // Its route gives 3 s.
+    let again = "Request-Id: again\r\nPrompt-Tokens: 1000\r\nDeadline-Ms: 2000\r\n";
+    let first = "Request-Id: first\r\nPrompt-Tokens: 9000\r\nDeadline-Ms: 3000\r\n";
+    let seen = order_after_outage([again, first]);
+    assert!(seen[0].contains("first") && seen[1].contains("again"), "{seen:?}");
 }
