--- /dev/null
+++ b/crates/mulberry-scheduler/src/baseline.rs
@@ -0,0 +1,112 @@
+//! Simple placements, to compare with.
+//!
+//! They keep the same limits (places, memory, starts at cold engines, time left) and give each prompt to one engine.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use crate::Work;
+use crate::pool::{Candidate, Plan, Pool};
+
+/// Time between two reports of an engine's load, in milliseconds; the lag that engines publish.
+const REPORT_MS: u64 = 200;
+
+/// How engines are chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum PlacementPolicy {
+    /// The least expected loss for the request and for all others.
+    #[default]
+    ExpectedCost,
+
+    /// One engine after the other.
+    RoundRobin,
+
+    /// The engine that had the fewest requests at its last report.
+    LeastReportedLoad,
+}
+
+/// A name that is no policy.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnknownPolicy(String);
+
+/// What a baseline remembers between two placements.
+#[derive(Debug, Default)]
+pub(crate) struct BaselineState {
+    turn: usize,
+    reports: HashMap<Arc<str>, usize>,
+    reported_ms: Option<u64>,
+}
+
+impl PlacementPolicy {
+    /// All policies with their names.
+    const NAMES: [(PlacementPolicy, &'static str); 3] = [
+        (PlacementPolicy::ExpectedCost, "expected-cost"),
+        (PlacementPolicy::RoundRobin, "round-robin"),
+        (PlacementPolicy::LeastReportedLoad, "least-reported-load"),
+    ];
+}
+
+impl FromStr for PlacementPolicy {
+    type Err = UnknownPolicy;
+
+    fn from_str(name: &str) -> Result<PlacementPolicy, UnknownPolicy> {
+        let found = PlacementPolicy::NAMES.iter().find(|(_, known)| *known == name);
+        found.map(|(policy, _)| *policy).ok_or_else(|| UnknownPolicy(name.to_owned()))
+    }
+}
+
+impl fmt::Display for UnknownPolicy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let names = PlacementPolicy::NAMES.map(|(_, name)| name).join(", ");
+        write!(f, "`{}` is no placement policy; use one of {names}", self.0)
+    }
+}
+
+impl std::error::Error for UnknownPolicy {}
+
+impl Pool {
+    /// The engine that a baseline chooses; `None` when none has room.
+    pub(crate) fn baseline_plan(
+        &mut self,
+        now_ms: u64,
+        work: &Work,
+        candidates: &[Candidate],
+        policy: PlacementPolicy,
+    ) -> Option<Plan> {
+        let tokens = work.prompt_tokens + work.answer_tokens;
+        let fits: Vec<&Candidate> =
+            candidates.iter().filter(|c| c.may_write && c.free_tokens >= tokens).collect();
+        self.report(now_ms);
+        let state = &mut self.baseline;
+        state.turn = state.turn.wrapping_add(1);
+        let chosen = match policy {
+            PlacementPolicy::LeastReportedLoad => fits
+                .iter()
+                .min_by_key(|candidate| state.reports.get(&candidate.id).copied().unwrap_or(0))?,
+            PlacementPolicy::RoundRobin | PlacementPolicy::ExpectedCost => {
+                fits.get(state.turn % fits.len().max(1))?
+            }
+        };
+        let read_ms = self.terms.read_ms(work.prompt_tokens);
+        let engine = self.engines.get(&chosen.id)?;
+        let end_ms = engine.read_end_ms(now_ms, read_ms, chosen.pass_ms, false);
+        Some(Plan {
+            first: chosen.id.clone(),
+            helpers: Vec::new(),
+            first_event_ms: end_ms + chosen.pass_ms,
+            cost: 0.0,
+            order_cost: 0.0,
+        })
+    }
+
+    fn report(&mut self, now_ms: u64) {
+        let state = &mut self.baseline;
+        if state.reported_ms.is_none_or(|at_ms| now_ms >= at_ms + REPORT_MS) {
+            state.reported_ms = Some(now_ms);
+            state.reports =
+                self.engines.iter().map(|(id, e)| (id.clone(), e.held_requests())).collect();
+        }
+    }
+}
--- a/crates/mulberry-scheduler/src/lib.rs
+++ b/crates/mulberry-scheduler/src/lib.rs
@@ -5,6 +5,7 @@
 //! The scheduler therefore weighs, for each way to place a request, how late the request itself gets and how late it
 //! makes others, and takes the cheapest. Long prompts are read by several engines at once.
 
+mod baseline;
 mod cost;
 mod demand;
 mod engine_state;
@@ -13,6 +14,7 @@
 mod scheduler;
 mod settings;
 
+pub use baseline::{PlacementPolicy, UnknownPolicy};
 pub use engine_state::EngineInfo;
 pub use job::{
     ActiveJob, Decision, Helper, JobId, Outcome, Placement, Refusal, RefusalCause, Work,
--- a/crates/mulberry-scheduler/src/pool.rs
+++ b/crates/mulberry-scheduler/src/pool.rs
@@ -5,6 +5,7 @@
 
 use mulberry_routes::{ColdLimit, EngineTerms};
 
+use crate::baseline::BaselineState;
 use crate::cost::{Bounds, Risk, value};
 use crate::demand::Demand;
 use crate::engine_state::EngineState;
@@ -75,19 +76,21 @@
 
     /// Requests that came lately.
     pub demand: Demand,
+
+    pub baseline: BaselineState,
 }
 
 /// An engine as a candidate for one request.
 #[derive(Debug)]
 pub(crate) struct Candidate {
-    id: Arc<str>,
-    pass_ms: f64,
+    pub id: Arc<str>,
+    pub pass_ms: f64,
 
     /// Whether it may write the answer.
-    may_write: bool,
+    pub may_write: bool,
 
     /// Memory that is left.
-    free_tokens: u64,
+    pub free_tokens: u64,
 
     /// Cost of holding the request there beside all others.
     hold_cost: f64,
--- a/crates/mulberry-scheduler/src/scheduler.rs
+++ b/crates/mulberry-scheduler/src/scheduler.rs
@@ -5,13 +5,14 @@
 
 use mulberry_routes::{ColdLimit, EngineTerms};
 
+use crate::baseline::BaselineState;
 use crate::cost::{Bounds, value};
 use crate::demand::Demand;
 use crate::engine_state::EngineState;
 use crate::pool::{Plan, Pool, bounds};
 use crate::{
-    ActiveJob, Decision, EngineInfo, Helper, JobId, Outcome, Placement, Refusal, RefusalCause,
-    SchedulerSettings, Work,
+    ActiveJob, Decision, EngineInfo, Helper, JobId, Outcome, Placement, PlacementPolicy, Refusal,
+    RefusalCause, SchedulerSettings, Work,
 };
 
 /// Numbers of engines that are compared for reading a prompt.
@@ -70,6 +71,7 @@
             reading_share: 0.0,
             share_at_ms: now_ms,
             demand: Demand::default(),
+            baseline: BaselineState::default(),
         });
         pool.terms = terms.clone();
         pool.cold = cold;
@@ -262,6 +264,9 @@
         let candidates = pool.candidates(now_ms, work, &settings);
         pool.update_reading_share(now_ms);
         pool.demand.arrived(now_ms, work.max_pause_ms, value(work.prompt_tokens));
+        if settings.policy != PlacementPolicy::ExpectedCost {
+            return pool.baseline_plan(now_ms, work, &candidates, settings.policy);
+        }
         let alone_ms = pool.terms.read_ms(work.prompt_tokens);
         let mut best: Option<Plan> = None;
         for size in TEAM_SIZES {
--- a/crates/mulberry-scheduler/src/settings.rs
+++ b/crates/mulberry-scheduler/src/settings.rs
@@ -1,8 +1,13 @@
 //! Settings of the scheduler.
 
+use crate::PlacementPolicy;
+
 /// Settings of the scheduler.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SchedulerSettings {
+    /// How engines are chosen.
+    pub policy: PlacementPolicy,
+
     /// Engines beside the first that may read one prompt; the limit of the engines' own protocol.
     pub max_helpers: usize,
 
@@ -43,6 +48,7 @@
 impl Default for SchedulerSettings {
     fn default() -> SchedulerSettings {
         SchedulerSettings {
+            policy: PlacementPolicy::default(),
             max_helpers: 16,
             min_part_ms: 20.0,
             slot_share: 1.0,
--- a/crates/mulberry-scheduler/tests/placement.rs
+++ b/crates/mulberry-scheduler/tests/placement.rs
@@ -7,8 +7,8 @@
 use common::{engines, job, scheduler, terms, work};
 use mulberry_routes::ColdLimit;
 use mulberry_scheduler::{
-    ActiveJob, Decision, EngineInfo, JobId, Outcome, Placement, RefusalCause, Scheduler,
-    SchedulerSettings, Work,
+    ActiveJob, Decision, EngineInfo, JobId, Outcome, Placement, PlacementPolicy, RefusalCause,
+    Scheduler, SchedulerSettings, Work,
 };
 
 fn placed(decision: Decision) -> Placement {
@@ -172,3 +172,49 @@
         assert!(short.first_event_ms <= 300, "at {now_ms} ms: {short:?}");
     }
 }
+
+fn baseline(policy: &str) -> Scheduler {
+    let policy: PlacementPolicy = policy.parse().expect("a policy");
+    let mut scheduler = Scheduler::new(SchedulerSettings { policy, ..Default::default() });
+    scheduler.set_engines(0, &"pool".into(), &terms(), None, &engines(4));
+    scheduler
+}
+
+#[test]
+fn round_robin_goes_from_engine_to_engine_and_keeps_their_limits() {
+    let mut scheduler = baseline("round-robin");
+    let used: Vec<_> = (0..8)
+        .map(|number| placed(scheduler.place(0, job(number), &work(3_000, 300, 250))))
+        .collect();
+    let engines: HashSet<_> = used.iter().map(|placement| placement.engine.clone()).collect();
+    assert_eq!(engines.len(), 4);
+    assert!(used.windows(2).all(|pair| pair[0].engine != pair[1].engine));
+    assert!(used.iter().all(|placement| placement.helpers.is_empty()));
+    let places = (8..100)
+        .filter(|number| {
+            let decision = scheduler.place(0, job(*number), &work(300, 300, 250));
+            matches!(decision, Decision::Placed(_))
+        })
+        .count();
+    assert_eq!(places + 8, 4 * 16, "no more than the places of the engines");
+}
+
+#[test]
+fn the_least_reported_load_is_as_old_as_the_report() {
+    let mut scheduler = baseline("least-reported-load");
+    let mut engine = |now_ms, number| {
+        placed(scheduler.place(now_ms, job(number), &work(3_000, 300, 250))).engine
+    };
+    let first = engine(0, 1);
+    assert_eq!(engine(100, 2), first, "the next report has not come");
+    assert_ne!(engine(200, 3), first);
+}
+
+#[test]
+fn an_unknown_policy_is_refused_with_the_known_ones() {
+    let error = "random".parse::<PlacementPolicy>().expect_err("no policy");
+    assert_eq!(
+        error.to_string(),
+        "`random` is no placement policy; use one of expected-cost, round-robin, least-reported-load"
+    );
+}
