--- a/crates/mulberry-gateway/src/placement.rs
+++ b/crates/mulberry-gateway/src/placement.rs
@@ -420,6 +420,12 @@
         located.collect()
     }
 
+    /// Ids of the engines that help, with commas between them.
+    pub(crate) fn helper_ids(&self) -> String {
+        let ids: Vec<&str> = self.placement.helpers.iter().map(|helper| &*helper.engine).collect();
+        ids.join(",")
+    }
+
     /// Name under which engines lend memory to this request.
     pub(crate) fn ticket(&self) -> String {
         format!("{:x}-{}", self.shared.incarnation, self.number)
