--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -628,6 +628,10 @@
         let metrics = &self.shared.metrics;
         metrics.requests.get_or_create(&RequestLabels { kind, outcome }).inc();
         metrics.request_seconds.observe((now - self.arrived).as_secs_f64());
+        let reason = match outcome {
+            "left" if self.reason.is_empty() => "the caller closed its connection",
+            _ => &self.reason,
+        };
         let first_event_ms = self.first_event_at.map_or(0, |at| (at - self.arrived).as_millis());
         tracing::info!(
             event = "request_ended",
@@ -644,7 +648,7 @@
             first_event_ms,
             total_ms = (now - self.arrived).as_millis(),
             config_version = self.table.version(),
-            reason = %Shown(&self.reason)
+            reason = %Shown(reason)
         );
     }
 }
--- /dev/null
+++ b/crates/mulberry-scheduler/examples/heavy_day.rs
@@ -0,0 +1,189 @@
+//! Plays the arrivals of a heavy day against engines that work in passes, and prints what callers get.
+//!
+//! Ten seconds with 2.6 times the usual long prompts, ten with 2.5 times the short ones, ten with the long ones again.
+//! The bound is what no placement can exceed: engine time goes to the requests that are worth most for it, in any
+//! parts, with every pass shared by as many writers as there are places.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use common::{Arrival, Got, Placer, engines, play, terms, work};
+use mulberry_scheduler::{PlacementPolicy, Scheduler, SchedulerSettings, Work};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SEEDS: std::ops::Range<u64> = 1..9;
+
+/// Requests a second of each kind, on a usual day.
+const RATES: [f64; 3] = [46.9, 2.39, 1.44];
+
+/// Begin and end of each phase, in milliseconds, and times the usual rate of each kind.
+const PHASES: [(u64, u64, [f64; 3]); 5] = [
+    (0, 4_000, [1.0, 1.0, 1.0]),
+    (4_000, 14_000, [0.5, 2.0, 2.6]),
+    (14_000, 24_000, [2.5, 0.5, 0.2]),
+    (24_000, 34_000, [0.5, 2.0, 2.6]),
+    (34_000, 38_000, [1.0, 1.0, 1.0]),
+];
+
+/// A kind of request.
+struct Kind {
+    median_tokens: f64,
+    tokens_spread: f64,
+    mean_tokens: f64,
+    events: f64,
+    aim_ms: u64,
+    max_pause_ms: u64,
+    time_left_ms: u64,
+    worth: f64,
+}
+
+const KINDS: [Kind; 3] = [
+    Kind {
+        median_tokens: 3_300.0,
+        tokens_spread: 0.94,
+        mean_tokens: 4_960.0,
+        events: 33.0,
+        aim_ms: 300,
+        max_pause_ms: 250,
+        time_left_ms: 10_000,
+        worth: 1.3,
+    },
+    Kind {
+        median_tokens: 38_000.0,
+        tokens_spread: 0.53,
+        mean_tokens: 45_000.0,
+        events: 20.0,
+        aim_ms: 1_500,
+        max_pause_ms: 600,
+        time_left_ms: 10_000,
+        worth: 4.2,
+    },
+    Kind {
+        median_tokens: 131_000.0,
+        tokens_spread: 0.57,
+        mean_tokens: 154_000.0,
+        events: 16.0,
+        aim_ms: 3_000,
+        max_pause_ms: 1_000,
+        time_left_ms: 15_000,
+        worth: 21.0,
+    },
+];
+
+/// Part of the worth of a late answer.
+const LATE_PART: f64 = 0.25;
+
+/// Spread of the number of events of an answer.
+const EVENTS_SPREAD: f64 = 0.7;
+
+/// Largest prompt.
+const MAX_TOKENS: f64 = 900_000.0;
+
+fn normal(rng: &mut ChaCha8Rng) -> f64 {
+    let (a, b): (f64, f64) = (rng.random_range(f64::EPSILON..1.0), rng.random_range(0.0..1.0));
+    (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos()
+}
+
+fn load(seed: u64) -> Vec<Arrival> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut arrivals = Vec::new();
+    for (begin_ms, end_ms, factors) in PHASES {
+        for at_ms in begin_ms..end_ms {
+            for ((kind, rate), factor) in KINDS.iter().zip(RATES).zip(factors) {
+                if !rng.random_bool(rate * factor / 1_000.0) {
+                    continue;
+                }
+                let tokens = kind.median_tokens * (kind.tokens_spread * normal(&mut rng)).exp();
+                let events = kind.events
+                    * (EVENTS_SPREAD * normal(&mut rng) - EVENTS_SPREAD.powi(2) / 2.0).exp();
+                let work = Work {
+                    time_left_ms: kind.time_left_ms,
+                    ..work(tokens.clamp(200.0, MAX_TOKENS) as u64, kind.aim_ms, kind.max_pause_ms)
+                };
+                arrivals.push(Arrival { at_ms, work, events: events.max(1.0) as u32 });
+            }
+        }
+    }
+    arrivals
+}
+
+fn kind_of(arrival: &Arrival) -> usize {
+    KINDS.iter().position(|kind| kind.max_pause_ms == arrival.work.max_pause_ms).unwrap_or(0)
+}
+
+fn worth(arrival: &Arrival) -> f64 {
+    let kind = &KINDS[kind_of(arrival)];
+    let size = arrival.work.prompt_tokens as f64 / kind.mean_tokens;
+    kind.worth * (0.3 + 0.7 * size).min(4.0)
+}
+
+/// Part of the worth that callers got, by kind and of all.
+fn earned(load: &[Arrival], got: &[Got]) -> [f64; 4] {
+    let mut sums = [[0.0; 2]; 4];
+    for (arrival, got) in load.iter().zip(got) {
+        let part = match (got.is_on_time, got.is_served) {
+            (true, _) => 1.0,
+            (false, true) => LATE_PART,
+            (false, false) => 0.0,
+        };
+        for at in [kind_of(arrival), 3] {
+            sums[at][0] += worth(arrival) * part;
+            sums[at][1] += worth(arrival);
+        }
+    }
+    sums.map(|[got, owed]| got / owed)
+}
+
+/// Part of the worth that the time of all engines can earn at most.
+fn bound(load: &[Arrival], engine_count: usize) -> f64 {
+    let terms = terms();
+    let pass_ms = terms.step_ms * f64::from(terms.steps_per_pass);
+    let mut got = 0.0;
+    for (begin_ms, end_ms, _) in PHASES {
+        let cost = |arrival: &Arrival| {
+            terms.read_ms(arrival.work.prompt_tokens)
+                + f64::from(arrival.events) * pass_ms / f64::from(terms.slots)
+        };
+        let mut phase: Vec<&Arrival> =
+            load.iter().filter(|a| (begin_ms..end_ms).contains(&a.at_ms)).collect();
+        phase.sort_by(|a, b| (worth(b) / cost(b)).total_cmp(&(worth(a) / cost(a))));
+        // What comes last in a phase may still be on time in the next one.
+        let mut left_ms = engine_count as f64 * (end_ms - begin_ms + KINDS[2].aim_ms) as f64;
+        for arrival in phase {
+            let part = (left_ms / cost(arrival)).min(1.0);
+            left_ms -= cost(arrival) * part;
+            got += worth(arrival) * (part + (1.0 - part) * LATE_PART);
+        }
+    }
+    got / load.iter().map(worth).sum::<f64>()
+}
+
+fn main() {
+    let policies = [
+        ("expected cost", PlacementPolicy::ExpectedCost),
+        ("round robin", PlacementPolicy::RoundRobin),
+        ("least reported load", PlacementPolicy::LeastReportedLoad),
+    ];
+    println!("engines  placement            short  medium  long   all    bound");
+    for engine_count in [23, 18, 15] {
+        for (name, policy) in policies {
+            let mut mean = [0.0; 5];
+            for seed in SEEDS {
+                let load = load(seed);
+                let settings = SchedulerSettings { policy, ..SchedulerSettings::default() };
+                let mut scheduler = Scheduler::new(settings);
+                scheduler.set_engines(0, &"pool".into(), &terms(), None, &engines(engine_count));
+                let got = play(engine_count, &load, Placer::Scheduler(Box::new(scheduler)));
+                let [short, medium, long, all] = earned(&load, &got);
+                let figures = [short, medium, long, all, bound(&load, engine_count)];
+                let seeds = (SEEDS.end - SEEDS.start) as f64;
+                mean.iter_mut().zip(figures).for_each(|(mean, figure)| *mean += figure / seeds);
+            }
+            let [short, medium, long, all, bound] = mean;
+            println!(
+                "{engine_count:7}  {name:19}  {short:.3}  {medium:.3}   {long:.3}  {all:.3}  {bound:.3}"
+            );
+        }
+    }
+}
