Tell gateways what changes in the list of gateways instead of all of it

Cause: each registry sent the whole list (79 gateways, 4 KB) to each of its 79 links at each restart. A gateway now keeps a list for each linked registry and applies changes; a gateway is known while any linked registry knows it.

--- a/crates/mulberry-directory/src/lib.rs
+++ b/crates/mulberry-directory/src/lib.rs
@@ -1,11 +1,13 @@
 //! What gateways and registries know of targets and of each other.
 
 mod frame;
+mod gateway_list;
 mod messages;
 mod target_record;
 mod target_table;
 
 pub use frame::{FrameError, MAX_FRAME_BYTES, encode_frame, read_frame, write_frame};
+pub use gateway_list::{GatewayChanges, GatewayList};
 pub use messages::{GatewayInfo, GatewayMessage, LinkMessage, RegistryMessage};
 pub use target_record::{TargetRecord, TargetState};
 pub use target_table::{Observed, TargetTable};
--- a/crates/mulberry-directory/src/messages.rs
+++ b/crates/mulberry-directory/src/messages.rs
@@ -6,7 +6,7 @@
 use mulberry_routes::{ConfigDelta, RoutingConfig};
 use serde::{Deserialize, Serialize};
 
-use crate::TargetRecord;
+use crate::{GatewayChanges, TargetRecord};
 
 /// A gateway as others see it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -72,6 +72,9 @@
     /// Gateways that are linked to this registry or another one.
     Gateways(Vec<GatewayInfo>),
 
+    /// What has changed of them since they were told last.
+    GatewaysChanged(GatewayChanges),
+
     /// Addresses of all registries.
     Registries(Vec<SocketAddr>),
 }
--- /dev/null
+++ b/crates/mulberry-directory/tests/gateways.rs
@@ -0,0 +1,45 @@
+//! Lists of gateways.
+
+use mulberry_directory::{GatewayInfo, GatewayList};
+use proptest::prelude::*;
+
+fn info(name: u8, started_ms: u64, takes_part: bool) -> GatewayInfo {
+    GatewayInfo {
+        name: format!("gateway-{name}").into(),
+        incarnation: started_ms,
+        started_ms,
+        address: ([10, 0, 0, name], 1).into(),
+        takes_part,
+    }
+}
+
+fn list() -> impl Strategy<Value = GatewayList> {
+    let infos = proptest::collection::vec((0..6_u8, 0..4_u64, any::<bool>()), 0..12);
+    infos.prop_map(|infos| {
+        GatewayList::merged(infos.into_iter().map(|(name, at, part)| info(name, at, part)))
+    })
+}
+
+proptest! {
+    #[test]
+    fn changes_make_one_list_the_other(before in list(), after in list()) {
+        let mut list = before.clone();
+        match before.changes_to(&after) {
+            Some(changes) => list.apply(changes),
+            None => prop_assert_eq!(&before, &after),
+        }
+        prop_assert_eq!(list, after);
+    }
+}
+
+#[test]
+fn the_newest_start_counts_and_a_stop_is_not_taken_back() {
+    let merged = GatewayList::merged([
+        info(1, 5, true),
+        info(1, 9, true),
+        info(2, 5, false),
+        info(2, 5, true),
+    ]);
+    let known: Vec<_> = merged.infos().map(|info| (info.started_ms, info.takes_part)).collect();
+    assert_eq!(known, [(9, true), (5, false)]);
+}
--- a/crates/mulberry-gateway/src/fleet_view.rs
+++ b/crates/mulberry-gateway/src/fleet_view.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use mulberry_directory::{GatewayInfo, Observed, TargetRecord, TargetState, TargetTable};
+use mulberry_directory::{
+    GatewayChanges, GatewayInfo, GatewayList, Observed, TargetRecord, TargetState, TargetTable,
+};
 
 /// What a gateway knows of targets, zones and other gateways.
 #[derive(Debug, Default)]
@@ -23,7 +25,9 @@
     /// Since when all linked registries have missed a target.
     silent_since_ms: HashMap<Arc<str>, u64>,
 
-    gateways: Vec<GatewayInfo>,
+    /// Gateways as each linked registry tells of them, and all of them.
+    told_gateways: HashMap<SocketAddr, GatewayList>,
+    gateways: GatewayList,
 
     /// Most gateways seen at a time, so that a share of a common limit does not grow when a link is lost.
     most_gateways: usize,
@@ -73,6 +77,11 @@
     pub fn registry_lost(&mut self, now_ms: u64, registry: SocketAddr) {
         self.silent.remove(&registry);
         self.update_silence(now_ms);
+        self.told_gateways.remove(&registry);
+        // Without any link the gateways that were known last are the best guess.
+        if !self.told_gateways.is_empty() {
+            self.update_gateways();
+        }
     }
 
     /// Since when all linked registries have missed a target.
@@ -80,18 +89,31 @@
         self.silent_since_ms.get(id).copied()
     }
 
-    /// Records the gateways. True when they changed.
-    pub fn set_gateways(&mut self, gateways: Vec<GatewayInfo>) -> bool {
-        if gateways == self.gateways {
+    /// Records all gateways that a registry knows. True when those known here changed.
+    pub fn set_gateways(&mut self, registry: SocketAddr, gateways: Vec<GatewayInfo>) -> bool {
+        self.told_gateways.insert(registry, GatewayList::merged(gateways));
+        self.update_gateways()
+    }
+
+    /// Records what has changed of the gateways that a registry knows. True when those known here changed.
+    pub fn change_gateways(&mut self, registry: SocketAddr, changes: GatewayChanges) -> bool {
+        self.told_gateways.entry(registry).or_default().apply(changes);
+        self.update_gateways()
+    }
+
+    fn update_gateways(&mut self) -> bool {
+        let told = self.told_gateways.values().flat_map(GatewayList::infos);
+        let all = GatewayList::merged(told.cloned());
+        if all == self.gateways {
             return false;
         }
-        self.most_gateways = self.most_gateways.max(gateways.len());
-        self.gateways = gateways;
+        self.most_gateways = self.most_gateways.max(all.infos().count());
+        self.gateways = all;
         true
     }
 
-    pub fn gateways(&self) -> &[GatewayInfo] {
-        &self.gateways
+    pub fn gateways(&self) -> impl Iterator<Item = &GatewayInfo> {
+        self.gateways.infos()
     }
 
     /// Gateways among which a common limit is shared.
--- a/crates/mulberry-gateway/src/placement.rs
+++ b/crates/mulberry-gateway/src/placement.rs
@@ -227,7 +227,6 @@
         let suspects = self.suspects.borrow();
         let home = fleet
             .gateways()
-            .iter()
             .filter(|gateway| gateway.takes_part)
             .filter(|gateway| suspects.get(&gateway.incarnation).is_none_or(|at| *at <= now_ms))
             .min_by_key(|gateway| (gateway.started_ms, gateway.name.clone()))?;
--- a/crates/mulberry-gateway/src/registry_links.rs
+++ b/crates/mulberry-gateway/src/registry_links.rs
@@ -201,10 +201,12 @@
             shared.refresh_engines();
         }
         RegistryMessage::Gateways(gateways) => {
-            let count = gateways.len();
-            if shared.fleet.borrow_mut().set_gateways(gateways) {
-                tracing::info!(event = "gateways_changed", count, registry = %address);
-            }
+            let has_changed = shared.fleet.borrow_mut().set_gateways(address, gateways);
+            log_gateways(shared, address, has_changed);
+        }
+        RegistryMessage::GatewaysChanged(changes) => {
+            let has_changed = shared.fleet.borrow_mut().change_gateways(address, changes);
+            log_gateways(shared, address, has_changed);
         }
         RegistryMessage::Registries(all) => {
             // The supervisor ends only with the gateway.
@@ -214,6 +216,13 @@
     None
 }
 
+fn log_gateways(shared: &Shared, registry: SocketAddr, has_changed: bool) {
+    if has_changed {
+        let count = shared.fleet.borrow().gateways().count();
+        tracing::info!(event = "gateways_changed", count, registry = %registry);
+    }
+}
+
 async fn send(writer: &mut OwnedWriteHalf, message: GatewayMessage) -> Result<(), String> {
     let sent = write_frame(writer, &LinkMessage::<()>::Gateway(message)).await;
     sent.map_err(|error| error.to_string())
--- a/crates/mulberry-gateway/tests/decisions.rs
+++ b/crates/mulberry-gateway/tests/decisions.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use mulberry_directory::{GatewayInfo, TargetRecord, TargetState};
+use mulberry_directory::{GatewayChanges, GatewayInfo, TargetRecord, TargetState};
 use mulberry_gateway::{
     EventRelay, FleetView, RelayError, RetryBudget, RetrySettings, TargetHealth,
 };
@@ -106,11 +106,43 @@
         address: ([10, 0, 0, 1], 1).into(),
         takes_part: true,
     };
-    fleet.set_gateways(vec![gateway("a"), gateway("b"), gateway("c")]);
-    fleet.set_gateways(vec![gateway("a")]);
+    let registry = SocketAddr::from(([10, 0, 0, 9], 1));
+    fleet.set_gateways(registry, vec![gateway("a"), gateway("b"), gateway("c")]);
+    fleet.set_gateways(registry, vec![gateway("a")]);
     assert_eq!(fleet.sharing_gateways(), 3);
 }
 
+#[test]
+fn a_gateway_is_known_while_any_linked_registry_knows_it() {
+    let mut fleet = FleetView::default();
+    let registry = |last: u8| SocketAddr::from(([10, 0, 0, last], 1));
+    let gateway = |name: &str, takes_part| GatewayInfo {
+        name: name.into(),
+        incarnation: 1,
+        started_ms: 1,
+        address: ([10, 0, 0, 1], 1).into(),
+        takes_part,
+    };
+    let known = |fleet: &FleetView| -> Vec<(Arc<str>, bool)> {
+        fleet.gateways().map(|info| (info.name.clone(), info.takes_part)).collect()
+    };
+    assert!(fleet.set_gateways(registry(1), vec![gateway("a", true), gateway("b", true)]));
+    assert!(!fleet.set_gateways(registry(2), vec![gateway("a", true), gateway("b", true)]));
+    let gone = |name: &str| GatewayChanges { present: Vec::new(), gone: vec![name.into()] };
+    assert!(!fleet.change_gateways(registry(1), gone("b")));
+    assert_eq!(known(&fleet).len(), 2, "the second registry still knows it");
+    assert!(fleet.change_gateways(registry(2), gone("b")));
+    assert_eq!(known(&fleet), [("a".into(), true)]);
+    let stopping = GatewayChanges { present: vec![gateway("a", false)], gone: Vec::new() };
+    assert!(fleet.change_gateways(registry(2), stopping));
+    assert_eq!(known(&fleet), [("a".into(), false)], "one that stops does not take part again");
+    fleet.registry_lost(1, registry(1));
+    fleet.registry_lost(2, registry(2));
+    assert_eq!(known(&fleet).len(), 1, "without any link the last ones count");
+    assert!(fleet.set_gateways(registry(2), vec![gateway("c", true)]));
+    assert_eq!(known(&fleet), [("c".into(), true)], "until a registry is linked again");
+}
+
 #[test]
 fn a_failing_target_is_left_alone_for_longer_each_time() {
     let mut health = TargetHealth::default();
--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -13,7 +13,7 @@
 
 use mulberry_consensus::{DurableState, MemberId, Payload, Raft, RaftMessage, Role};
 use mulberry_directory::{
-    GatewayInfo, GatewayMessage, Observed, RegistryMessage, TargetRecord, TargetTable,
+    GatewayInfo, GatewayList, GatewayMessage, Observed, RegistryMessage, TargetRecord, TargetTable,
 };
 use mulberry_routes::{ConfigDelta, RoutingConfig};
 use serde::{Deserialize, Serialize};
@@ -64,7 +64,7 @@
     /// Gateways that other registries have told of, by registry, with the time.
     remote_gateways: HashMap<SocketAddr, (Vec<GatewayInfo>, u64)>,
 
-    told_gateways: Vec<GatewayInfo>,
+    told_gateways: GatewayList,
 
     /// Gateways linked here, as the other registries were told last, and when they are told again.
     sent_gateways: Vec<GatewayInfo>,
@@ -136,7 +136,7 @@
             hellos: BTreeMap::new(),
             gateways: GatewayLinks::default(),
             remote_gateways: HashMap::new(),
-            told_gateways: Vec::new(),
+            told_gateways: GatewayList::default(),
             sent_gateways: Vec::new(),
             gateways_due_ms: 0,
             targets: TargetTable::default(),
@@ -467,7 +467,7 @@
             RegistryMessage::Version { version, is_confirmed: self.is_confirmed() },
             RegistryMessage::Targets(targets),
             RegistryMessage::Silent(self.told_silent.clone()),
-            RegistryMessage::Gateways(self.all_gateways()),
+            RegistryMessage::Gateways(self.all_gateways().infos().cloned().collect()),
         ] {
             self.gateways.send(id, message);
         }
@@ -678,22 +678,10 @@
         }
     }
 
-    /// Gateways linked here or at another registry, the newest start of each name.
-    fn all_gateways(&self) -> Vec<GatewayInfo> {
+    /// Gateways linked here or at another registry.
+    fn all_gateways(&self) -> GatewayList {
         let remote = self.remote_gateways.values().flat_map(|(infos, _)| infos.iter().cloned());
-        let mut by_name: BTreeMap<Arc<str>, GatewayInfo> = BTreeMap::new();
-        for info in remote.chain(self.gateways.infos()) {
-            match by_name.get_mut(&info.name) {
-                Some(known)
-                    if (known.started_ms, !known.takes_part)
-                        >= (info.started_ms, !info.takes_part) => {}
-                Some(known) => *known = info,
-                None => {
-                    by_name.insert(info.name.clone(), info);
-                }
-            }
-        }
-        by_name.into_values().collect()
+        GatewayList::merged(remote.chain(self.gateways.infos()))
     }
 
     /// Link addresses of all registries, this one included.
--- a/crates/mulberry-registry/src/node/gossip.rs
+++ b/crates/mulberry-registry/src/node/gossip.rs
@@ -111,9 +111,9 @@
 
     pub(super) fn tell_gateways(&mut self) {
         let all = self.all_gateways();
-        if all != self.told_gateways {
-            self.told_gateways.clone_from(&all);
-            self.gateways.send_all(&RegistryMessage::Gateways(all));
+        if let Some(changes) = self.told_gateways.changes_to(&all) {
+            self.told_gateways = all;
+            self.gateways.send_all(&RegistryMessage::GatewaysChanged(changes));
         }
     }
 }
