--- /dev/null
+++ b/crates/mulberry-scheduler/examples/placement_cost.rs
@@ -0,0 +1,39 @@
+//! Measures what one placement costs, by the number of engines and the length of the prompt.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{engines, job, terms, work};
+use mulberry_scheduler::{Scheduler, SchedulerSettings};
+
+/// Requests that are being served while one more is placed, for each engine.
+const HELD_PER_ENGINE: u64 = 6;
+
+const ROUNDS: u64 = 400;
+
+fn main() {
+    println!("engines  short us  medium us  long us");
+    for engine_count in [23, 78, 300] {
+        let mut scheduler = Scheduler::new(SchedulerSettings::default());
+        scheduler.set_engines(0, &"pool".into(), &terms(), None, &engines(engine_count));
+        for number in 0..engine_count as u64 * HELD_PER_ENGINE {
+            let _ = scheduler.place(number, job(number), &work(4_000, 300, 250));
+            scheduler.first_event(job(number));
+        }
+        let mean_us = [(4_000, 300, 250), (45_000, 1_500, 600), (154_000, 3_000, 1_000)].map(
+            |(tokens, aim_ms, max_pause_ms)| {
+                let work = work(tokens, aim_ms, max_pause_ms);
+                let mut spent = Duration::ZERO;
+                for round in 0..ROUNDS {
+                    let begin = Instant::now();
+                    let _ = scheduler.place(10_000 + round * 20, job(1 << 40), &work);
+                    spent += begin.elapsed();
+                }
+                spent.as_secs_f64() * 1e6 / ROUNDS as f64
+            },
+        );
+        println!("{engine_count:7}  {:8.0}  {:9.0}  {:7.0}", mean_us[0], mean_us[1], mean_us[2]);
+    }
+}
--- a/crates/mulberry-scheduler/src/baseline.rs
+++ b/crates/mulberry-scheduler/src/baseline.rs
@@ -2,12 +2,13 @@
 //!
 //! They keep the same limits (places, memory, starts at cold engines, time left) and give each prompt to one engine.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::str::FromStr;
 use std::sync::Arc;
 
 use crate::Work;
+use crate::engine_state::EngineState;
 use crate::pool::{Candidate, Plan, Pool};
 
 /// Time between two reports of an engine's load, in milliseconds; the lag that engines publish.
@@ -66,47 +67,47 @@
 
 impl std::error::Error for UnknownPolicy {}
 
+impl BaselineState {
+    /// Begins the next placement.
+    pub(crate) fn next(&mut self, now_ms: u64, engines: &BTreeMap<Arc<str>, EngineState>) {
+        self.turn = self.turn.wrapping_add(1);
+        if self.reported_ms.is_none_or(|at_ms| now_ms >= at_ms + REPORT_MS) {
+            self.reported_ms = Some(now_ms);
+            let load =
+                |(id, engine): (&Arc<str>, &EngineState)| (id.clone(), engine.held_requests());
+            self.reports = engines.iter().map(load).collect();
+        }
+    }
+}
+
 impl Pool {
     /// The engine that a baseline chooses; `None` when none has room.
     pub(crate) fn baseline_plan(
-        &mut self,
-        now_ms: u64,
+        &self,
         work: &Work,
-        candidates: &[Candidate],
+        candidates: &[Candidate<'_>],
         policy: PlacementPolicy,
     ) -> Option<Plan> {
         let tokens = work.prompt_tokens + work.answer_tokens;
-        let fits: Vec<&Candidate> =
+        let fits: Vec<&Candidate<'_>> =
             candidates.iter().filter(|c| c.may_write && c.free_tokens >= tokens).collect();
-        self.report(now_ms);
-        let state = &mut self.baseline;
-        state.turn = state.turn.wrapping_add(1);
+        let BaselineState { turn, reports, .. } = &self.baseline;
         let chosen = match policy {
             PlacementPolicy::LeastReportedLoad => fits
                 .iter()
-                .min_by_key(|candidate| state.reports.get(&candidate.id).copied().unwrap_or(0))?,
+                .min_by_key(|candidate| reports.get(&candidate.engine.id).copied().unwrap_or(0))?,
             PlacementPolicy::RoundRobin | PlacementPolicy::ExpectedCost => {
-                fits.get(state.turn % fits.len().max(1))?
+                fits.get(turn % fits.len().max(1))?
             }
         };
         let read_ms = self.terms.read_ms(work.prompt_tokens);
-        let engine = self.engines.get(&chosen.id)?;
-        let end_ms = engine.read_end_ms(now_ms, read_ms, chosen.pass_ms, false);
+        let end_ms = EngineState::read_end_ms(chosen.backlog_ms, read_ms, chosen.pass_ms);
         Some(Plan {
-            first: chosen.id.clone(),
+            first: chosen.engine.id.clone(),
             helpers: Vec::new(),
             first_event_ms: end_ms + chosen.pass_ms,
             cost: 0.0,
             order_cost: 0.0,
         })
     }
-
-    fn report(&mut self, now_ms: u64) {
-        let state = &mut self.baseline;
-        if state.reported_ms.is_none_or(|at_ms| now_ms >= at_ms + REPORT_MS) {
-            state.reported_ms = Some(now_ms);
-            state.reports =
-                self.engines.iter().map(|(id, e)| (id.clone(), e.held_requests())).collect();
-        }
-    }
 }
--- a/crates/mulberry-scheduler/src/engine_state.rs
+++ b/crates/mulberry-scheduler/src/engine_state.rs
@@ -12,6 +12,9 @@
 /// Reading that a part is counted with once it should be done, until the first event says that it is.
 const OVERDUE_MS: f64 = 5.0;
 
+/// Time for which starts are remembered, in milliseconds; at least the window of the limit for cold engines.
+const MAX_START_WINDOW_MS: u64 = 10_000;
+
 /// An engine that may be used.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineInfo {
@@ -63,6 +66,28 @@
     is_writing: bool,
 }
 
+/// Value of the requests that write, by the longest pause that is on time; few kinds differ in it.
+#[derive(Debug, Default)]
+pub(crate) struct WritersByPause(Vec<(u64, f64)>);
+
+impl WritersByPause {
+    fn add(&mut self, max_pause_ms: u64, value: f64) {
+        match self.0.iter_mut().find(|(known, _)| *known == max_pause_ms) {
+            Some((_, sum)) => *sum += value,
+            None => self.0.push((max_pause_ms, value)),
+        }
+    }
+
+    /// What they lose when a pause of `pause_ms` gets longer by `part_ms`.
+    pub(crate) fn harm(&self, pause_ms: f64, part_ms: f64) -> f64 {
+        let loss = |(max_pause_ms, value): &(u64, f64)| {
+            let bounds = Bounds::of_pause(*max_pause_ms);
+            (bounds.loss(pause_ms + part_ms) - bounds.loss(pause_ms)) * value
+        };
+        self.0.iter().map(loss).sum()
+    }
+}
+
 impl EngineState {
     pub(crate) fn new(info: &EngineInfo, now_ms: u64) -> EngineState {
         EngineState {
@@ -107,17 +132,16 @@
 
     /// Whether an engine has got as many requests lately as it bears when it is cold.
     pub(crate) fn is_cold_full(
-        &mut self,
+        &self,
         now_ms: u64,
         cold: Option<ColdLimit>,
         share: f64,
         settings: &SchedulerSettings,
     ) -> bool {
-        while self.starts.front().is_some_and(|&at| at + settings.start_window_ms <= now_ms) {
-            self.starts.pop_front();
-        }
         let Some(cold) = cold else { return false };
-        self.starts.len() as f64 >= (cold.requests_per_s * share).max(1.0)
+        let is_recent = |at: &&u64| **at + settings.start_window_ms > now_ms;
+        let starts = self.starts.iter().rev().take_while(is_recent).count();
+        starts as f64 >= (cold.requests_per_s * share).max(1.0)
     }
 
     /// Length of a pass without reading, 0 when nobody writes.
@@ -135,48 +159,28 @@
         self.reads.iter().map(left).sum()
     }
 
-    /// Time until a part of `part_ms` that is added now has been read.
-    pub(crate) fn read_end_ms(
-        &self,
-        now_ms: u64,
-        part_ms: f64,
-        pass_ms: f64,
-        is_helper: bool,
-    ) -> f64 {
-        let ahead_ms = if is_helper { 0.0 } else { self.backlog_ms(now_ms) };
+    /// Time until a part of `part_ms` has been read after what goes before it.
+    pub(crate) fn read_end_ms(ahead_ms: f64, part_ms: f64, pass_ms: f64) -> f64 {
         // The running pass must end first, and the part is read within a pass of its own.
         ahead_ms + part_ms + pass_ms * 1.5
     }
 
-    /// What a further part of `part_ms` costs those who are served here already. `displaced` holds all jobs when the
-    /// part is one of a helper, which goes before the others.
-    pub(crate) fn harm(
-        &self,
-        now_ms: u64,
-        part_ms: f64,
-        pass_ms: f64,
-        displaced: Option<&HashMap<JobId, Job>>,
-    ) -> f64 {
-        let pause_before = pass_ms + self.backlog_ms(now_ms);
-        let pause_after = pause_before + part_ms;
-        let of_writers: f64 = self
-            .holds
-            .values()
-            .filter(|held| held.max_pause_ms > 0)
-            .map(|held| {
-                let bounds = Bounds::of_pause(held.max_pause_ms);
-                let more = bounds.loss(pause_after) - bounds.loss(pause_before);
-                more * value(held.prompt_tokens)
-            })
-            .sum();
-        let Some(jobs) = displaced else { return of_writers };
-        let of_readers: f64 = self
-            .reads
+    pub(crate) fn writers_by_pause(&self) -> WritersByPause {
+        let mut writers = WritersByPause::default();
+        for held in self.holds.values().filter(|held| held.max_pause_ms > 0) {
+            writers.add(held.max_pause_ms, value(held.prompt_tokens));
+        }
+        writers
+    }
+
+    /// What a part of a helper, which goes before all that is read here, costs those who are read here. `jobs` holds all
+    /// of them.
+    pub(crate) fn displaced(&self, now_ms: u64, part_ms: f64, jobs: &HashMap<JobId, Job>) -> f64 {
+        self.reads
             .iter()
             .filter_map(|part| Some((part.ends_ms + part_ms, jobs.get(&part.job)?)))
             .map(|(ends_ms, job)| job.loss_by(now_ms, ends_ms))
-            .sum();
-        of_writers + of_readers
+            .sum()
     }
 
     /// Adds a part that takes `read_ms`. Returns when it will have been read, and the same of the parts that it
@@ -189,7 +193,8 @@
         terms: &EngineTerms,
         is_helper: bool,
     ) -> (f64, Vec<(JobId, f64)>) {
-        let ends_in_ms = self.read_end_ms(now_ms, read_ms, self.pass_ms(terms), is_helper);
+        let ahead_ms = if is_helper { 0.0 } else { self.backlog_ms(now_ms) };
+        let ends_in_ms = EngineState::read_end_ms(ahead_ms, read_ms, self.pass_ms(terms));
         let ends_ms = now_ms as f64 + ends_in_ms;
         let mut displaced = Vec::new();
         if is_helper {
@@ -211,6 +216,9 @@
         is_writing: bool,
     ) {
         self.starts.push_back(now_ms);
+        while self.starts.front().is_some_and(|&at| at + MAX_START_WINDOW_MS <= now_ms) {
+            self.starts.pop_front();
+        }
         let held = Held {
             tokens,
             prompt_tokens: work.prompt_tokens,
--- a/crates/mulberry-scheduler/src/pool.rs
+++ b/crates/mulberry-scheduler/src/pool.rs
@@ -8,7 +8,7 @@
 use crate::baseline::BaselineState;
 use crate::cost::{Bounds, Risk, value};
 use crate::demand::Demand;
-use crate::engine_state::EngineState;
+use crate::engine_state::{EngineState, WritersByPause};
 use crate::scheduler::Job;
 use crate::{Helper, JobId, SchedulerSettings, Work};
 
@@ -82,9 +82,13 @@
 
 /// An engine as a candidate for one request.
 #[derive(Debug)]
-pub(crate) struct Candidate {
-    pub id: Arc<str>,
+pub(crate) struct Candidate<'a> {
+    pub engine: &'a EngineState,
     pub pass_ms: f64,
+    pub backlog_ms: f64,
+
+    /// Value of its writers.
+    writers: WritersByPause,
 
     /// Whether it may write the answer.
     pub may_write: bool,
@@ -110,7 +114,7 @@
     /// What the part costs those who are there.
     harm: f64,
 
-    candidate: &'a Candidate,
+    candidate: &'a Candidate<'a>,
 }
 
 /// A way to place a request.
@@ -127,17 +131,17 @@
 
 impl Pool {
     pub(crate) fn candidates(
-        &mut self,
+        &self,
         now_ms: u64,
         work: &Work,
         settings: &SchedulerSettings,
-    ) -> Vec<Candidate> {
+    ) -> Vec<Candidate<'_>> {
         let terms = &self.terms;
         let cold = self.cold;
         let max_requests = (f64::from(terms.slots) * settings.slot_share).max(1.0);
         let max_tokens = (terms.memory_tokens as f64 * settings.memory_share) as u64;
         let mut candidates = Vec::with_capacity(self.engines.len());
-        for engine in self.engines.values_mut() {
+        for engine in self.engines.values() {
             if engine.is_suspended(now_ms) || work.excluded.contains(&engine.id) {
                 continue;
             }
@@ -157,11 +161,14 @@
                 OTHER_ZONE_COST * value(work.prompt_tokens)
             };
             let may_write = (engine.held_requests() as f64) < max_requests && !is_cold_full;
+            let backlog_ms = engine.backlog_ms(now_ms);
             candidates.push(Candidate {
-                id: engine.id.clone(),
+                engine,
                 pass_ms: engine.pass_ms(terms),
+                backlog_ms,
+                writers: engine.writers_by_pause(),
                 may_write,
-                is_free: may_write && engine.backlog_ms(now_ms) < FREE_BACKLOG_MS,
+                is_free: may_write && backlog_ms < FREE_BACKLOG_MS,
                 free_tokens: max_tokens.saturating_sub(engine.used_tokens()),
                 hold_cost: opening + crowd + distance + turns,
             });
@@ -174,7 +181,7 @@
         &self,
         now_ms: u64,
         work: &Work,
-        candidates: &[Candidate],
+        candidates: &[Candidate<'_>],
         size: usize,
         jobs: &HashMap<JobId, Job>,
     ) -> Option<Plan> {
@@ -185,16 +192,18 @@
             |end_ms: f64| worth * WAIT_COST * (end_ms / bounds.aim_ms.max(1.0)).min(MAX_WAIT);
         let own_loss = |end_ms: f64, pause: Risk| worth * bounds.risk(end_ms).and(pause).loss();
         // When each engine has read its part, and what that costs those who are there.
-        let score = |candidate: &Candidate, is_helper: bool| {
-            let engine = &self.engines[&candidate.id];
-            let end_ms = engine.read_end_ms(now_ms, part_ms, candidate.pass_ms, is_helper);
-            let displaced = is_helper.then_some(jobs);
-            (end_ms, engine.harm(now_ms, part_ms, candidate.pass_ms, displaced))
+        let score = |candidate: &Candidate<'_>, is_helper: bool| {
+            let Candidate { engine, pass_ms, backlog_ms, .. } = candidate;
+            let ahead_ms = if is_helper { 0.0 } else { *backlog_ms };
+            let end_ms = EngineState::read_end_ms(ahead_ms, part_ms, *pass_ms);
+            let harm = candidate.writers.harm(pass_ms + backlog_ms, part_ms);
+            let displaced = if is_helper { engine.displaced(now_ms, part_ms, jobs) } else { 0.0 };
+            (end_ms, harm + displaced)
         };
         let tokens = work.prompt_tokens + work.answer_tokens;
         let may_borrow =
             size > 1 && tokens as f64 > self.terms.memory_tokens as f64 * BORROWING_SHARE;
-        let has_room = |candidate: &&Candidate| {
+        let has_room = |candidate: &&Candidate<'_>| {
             let needed = if may_borrow { work.answer_tokens + MIN_HELD_TOKENS } else { tokens };
             candidate.may_write && candidate.free_tokens >= needed
         };
@@ -205,7 +214,7 @@
                 let (end_ms, harm) = score(candidate, false);
                 let borrowing = tokens.saturating_sub(candidate.free_tokens) as f64 / tokens as f64;
                 let begin_ms = end_ms + candidate.pass_ms;
-                let cost = own_loss(begin_ms, self.pause_risk(now_ms, work, candidate))
+                let cost = own_loss(begin_ms, pause_risk(work, candidate))
                     + wait_cost(begin_ms)
                     + harm
                     + candidate.hold_cost
@@ -216,7 +225,7 @@
         let Scored { end_ms: holder_end_ms, harm: holder_harm, candidate: holder, .. } = holder;
         let mut helpers: Vec<Scored<'_>> = candidates
             .iter()
-            .filter(|candidate| candidate.id != holder.id)
+            .filter(|candidate| size > 1 && candidate.engine.id != holder.engine.id)
             .map(|candidate| {
                 let (end_ms, harm) = score(candidate, true);
                 let cost = own_loss(end_ms, Risk::NONE) + wait_cost(end_ms) + harm;
@@ -233,22 +242,25 @@
             read_end_ms + self.terms.pass_ms(1, work.prompt_tokens).max(holder.pass_ms);
         let borrowing = tokens.saturating_sub(holder.free_tokens) as f64 / tokens as f64;
         let order_cost = holder.hold_cost;
-        let cost = own_loss(first_event_ms, self.pause_risk(now_ms, work, holder))
+        let coming = match self.demand.loss_by(now_ms, part_ms) {
+            loss if loss > 0.0 => loss * self.shortage(work, candidates, holder, &helpers),
+            _ => 0.0,
+        };
+        let cost = own_loss(first_event_ms, pause_risk(work, holder))
             + holder_harm
             + harm
             + borrowing * BORROWING_COST
             + HELPER_COST * helpers.len() as f64
             + self.terms.read_ms(work.prompt_tokens) * READ_MS_COST * self.reading_share.powi(2)
-            + self.demand.loss_by(now_ms, part_ms)
-                * self.shortage(work, candidates, holder, &helpers)
+            + coming
             + wait_cost(first_event_ms)
             + order_cost;
         let helpers = helpers.iter().zip(lent).map(|(helper, lent_tokens)| Helper {
-            engine: helper.candidate.id.clone(),
+            engine: helper.candidate.engine.id.clone(),
             lent_tokens,
         });
         Some(Plan {
-            first: holder.id.clone(),
+            first: holder.engine.id.clone(),
             helpers: helpers.collect(),
             first_event_ms,
             cost,
@@ -277,8 +289,8 @@
     fn shortage(
         &self,
         work: &Work,
-        candidates: &[Candidate],
-        holder: &Candidate,
+        candidates: &[Candidate<'_>],
+        holder: &Candidate<'_>,
         helpers: &[Scored<'_>],
     ) -> f64 {
         let team = helpers.iter().map(|helper| helper.candidate).chain([holder]);
@@ -289,19 +301,19 @@
         let needed = (held as f64 / f64::from(self.terms.slots.max(1))).ceil() + 1.0;
         (1.0 - free as f64 / needed).max(0.0)
     }
+}
 
-    /// Risk of the pauses that the reading that goes on at an engine makes for a request that writes there.
-    fn pause_risk(&self, now_ms: u64, work: &Work, candidate: &Candidate) -> Risk {
-        if work.max_pause_ms == 0 {
-            return Risk::NONE;
-        }
-        let pause_ms = candidate.pass_ms + self.engines[&candidate.id].backlog_ms(now_ms) * READ_ON;
-        Bounds::of_pause(work.max_pause_ms).risk(pause_ms)
+/// Risk of the pauses that the reading that goes on at an engine makes for a request that writes there.
+fn pause_risk(work: &Work, candidate: &Candidate<'_>) -> Risk {
+    if work.max_pause_ms == 0 {
+        return Risk::NONE;
     }
+    let pause_ms = candidate.pass_ms + candidate.backlog_ms * READ_ON;
+    Bounds::of_pause(work.max_pause_ms).risk(pause_ms)
 }
 
 /// Memory that each helper lends to a prompt that does not fit its holder; `None` when all of it is not enough.
-fn lend(tokens: u64, holder: &Candidate, helpers: &[Scored<'_>]) -> Option<Vec<u64>> {
+fn lend(tokens: u64, holder: &Candidate<'_>, helpers: &[Scored<'_>]) -> Option<Vec<u64>> {
     if tokens <= holder.free_tokens {
         return Some(vec![0; helpers.len()]);
     }
--- a/crates/mulberry-scheduler/src/scheduler.rs
+++ b/crates/mulberry-scheduler/src/scheduler.rs
@@ -261,11 +261,15 @@
     fn best_plan(&mut self, now_ms: u64, work: &Work) -> Option<Plan> {
         let settings = self.settings.clone();
         let pool = self.pools.get_mut(&work.service)?;
-        let candidates = pool.candidates(now_ms, work, &settings);
         pool.update_reading_share(now_ms);
         pool.demand.arrived(now_ms, work.max_pause_ms, value(work.prompt_tokens));
         if settings.policy != PlacementPolicy::ExpectedCost {
-            return pool.baseline_plan(now_ms, work, &candidates, settings.policy);
+            pool.baseline.next(now_ms, &pool.engines);
+        }
+        let pool = &*pool;
+        let candidates = pool.candidates(now_ms, work, &settings);
+        if settings.policy != PlacementPolicy::ExpectedCost {
+            return pool.baseline_plan(work, &candidates, settings.policy);
         }
         let alone_ms = pool.terms.read_ms(work.prompt_tokens);
         let mut best: Option<Plan> = None;
