--- a/crates/mulberry-gateway/src/placement.rs
+++ b/crates/mulberry-gateway/src/placement.rs
@@ -38,6 +38,12 @@
 /// Time between two lists of active requests to the home.
 const LIST_EVERY: Duration = Duration::from_millis(400);
 
+/// Gateways that may send their lists each time; among more of them each leaves some out, as one home reads them all.
+const LISTING_GATEWAYS: usize = 24;
+
+/// Most times between two lists, so that one may be lost within [`LIST_LIFE_MS`].
+const MAX_LIST_TURNS: usize = 3;
+
 /// Time without a list after which the requests of a gateway no longer count.
 const LIST_LIFE_MS: u64 = 2_500;
 
@@ -364,11 +370,16 @@
 
     /// Sends lists of active requests and drops what is out of date, for good.
     pub(crate) async fn run_lists(shared: Rc<Shared>) {
+        let (mut listed_at, mut turns_left) = (None, 0);
         loop {
             tokio::time::sleep(LIST_EVERY).await;
             let placer = &shared.placer;
             let now_ms = shared.now_ms();
-            if let Some((_, address)) = placer.home(&shared) {
+            let home = placer.home(&shared);
+            turns_left = if home == listed_at { usize::saturating_sub(turns_left, 1) } else { 0 };
+            if let Some((_, address)) = home.filter(|_| turns_left == 0) {
+                listed_at = home;
+                turns_left = list_turns(shared.fleet.borrow().gateways().count());
                 let message = HomeMessage::Active {
                     gateway: placer.incarnation,
                     up_to: placer.next_number.get() - 1,
@@ -390,6 +401,11 @@
     }
 }
 
+/// Times of [`LIST_EVERY`] between two lists of one gateway.
+fn list_turns(gateways: usize) -> usize {
+    (1 + gateways / LISTING_GATEWAYS).min(MAX_LIST_TURNS)
+}
+
 /// Engines of a placement that must not get it any more.
 fn leaving_engines(fleet: &FleetView, placement: &Placement) -> Vec<Arc<str>> {
     let helpers = placement.helpers.iter().map(|helper| &helper.engine);
