--- /dev/null
+++ b/crates/mulberry-gateway/src/exchange/admission.rs
@@ -0,0 +1,171 @@
+//! From a request that was read to its exchange, or a refusal before any target is looked for.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use mulberry_http1::{Http1Connection, RequestHead};
+use mulberry_routes::{Denied, RouteTable, Target};
+use tokio::time::{Instant, timeout_at};
+
+use super::answers::send_own;
+use super::choice::choose_service;
+use super::{Exchange, GivenUp, LEARNING, LEARNING_SHARE, NO_TARGET_RETRY_MS, Next};
+use crate::dialect::CallerFields;
+use crate::metrics::RequestLabels;
+use crate::shared::Shared;
+
+/// Time to come back, to another gateway, when this one stops.
+const STOPPING_RETRY_MS: u64 = 100;
+
+/// Serves a request that was read at `arrived`.
+pub(crate) async fn serve(
+    shared: &Rc<Shared>,
+    client: &mut Http1Connection,
+    head: RequestHead,
+    body: Vec<u8>,
+    arrived: Instant,
+) -> Next {
+    let fields = shared.dialect.caller_fields(&head.headers);
+    if shared.takes_no_more.get() {
+        tracing::info!(
+            event = "request_refused",
+            request_id = fields.request_id.as_deref().unwrap_or(""),
+            status = 503,
+            reason = "stopping"
+        );
+        let given_up = GivenUp { status: 503, retry_after_ms: Some(STOPPING_RETRY_MS) };
+        return send_own(client, &given_up, "this gateway stops; call another one", false).await;
+    }
+    let is_certain = || {
+        let Some(table) = shared.table() else { return false };
+        shared.is_config_confirmed() || find_target(&table, &head, &fields).is_ok()
+    };
+    let has_waited = !is_certain();
+    if has_waited {
+        let limit = fields
+            .deadline_ms
+            .map_or(LEARNING, |ms| LEARNING.min(Duration::from_millis(ms).mul_f64(LEARNING_SHARE)));
+        tokio::select! {
+            () = wait_until(shared, arrived + limit, is_certain) => {}
+            () = client.wait_closed() => return Next::Close,
+        }
+    }
+    let keeps_alive = head.keeps_alive() && !shared.is_stopping.get();
+    let mut exchange = match Exchange::new(shared, head, body, fields, arrived) {
+        Ok(exchange) => Exchange { has_waited, ..exchange },
+        Err(refused) => {
+            let given_up =
+                GivenUp { status: refused.status, retry_after_ms: refused.retry_after_ms };
+            refused.log(shared);
+            return send_own(client, &given_up, refused.reason, keeps_alive).await;
+        }
+    };
+    exchange.run(client, keeps_alive).await
+}
+
+/// The route and tenant of a request.
+fn find_target<'a>(
+    table: &'a RouteTable,
+    head: &RequestHead,
+    fields: &CallerFields,
+) -> Result<Target<'a>, Denied> {
+    let host = head.headers.text("host").unwrap_or_default();
+    table.find(host, head.path(), fields.api_key.as_deref())
+}
+
+/// Waits until something has become known, at most until `limit`.
+pub(super) async fn wait_until(shared: &Shared, limit: Instant, is_known: impl Fn() -> bool) {
+    loop {
+        let changed = shared.changed.notified();
+        if is_known() || timeout_at(limit, changed).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// A request that is refused before any target is looked for.
+struct Refused {
+    status: u16,
+    retry_after_ms: Option<u64>,
+    reason: &'static str,
+    request_id: Option<Box<str>>,
+    version: u64,
+}
+
+impl Refused {
+    fn log(&self, shared: &Shared) {
+        let labels = RequestLabels { kind: "none", outcome: "refused" };
+        shared.metrics.requests.get_or_create(&labels).inc();
+        tracing::info!(
+            event = "request_refused",
+            request_id = self.request_id.as_deref().unwrap_or(""),
+            status = self.status,
+            reason = self.reason,
+            config_version = self.version
+        );
+    }
+}
+
+impl Exchange {
+    fn new(
+        shared: &Rc<Shared>,
+        head: RequestHead,
+        body: Vec<u8>,
+        fields: CallerFields,
+        arrived: Instant,
+    ) -> Result<Exchange, Refused> {
+        let version = shared.config_version();
+        let refused = |status, retry_after_ms, reason| Refused {
+            status,
+            retry_after_ms,
+            reason,
+            request_id: fields.request_id.clone(),
+            version,
+        };
+        let table = shared
+            .table()
+            .filter(|_| !(shared.settings.refuse_when_unlinked && shared.links.get() == 0));
+        let Some(table) = table else {
+            return Err(refused(503, Some(NO_TARGET_RETRY_MS), "no configuration is known yet"));
+        };
+        let is_confirmed = shared.is_config_confirmed();
+        let found = find_target(&table, &head, &fields);
+        let Target { route, tenant } = found.map_err(|denied| match denied {
+            _ if !is_confirmed => {
+                refused(503, Some(NO_TARGET_RETRY_MS), "the configuration is not confirmed yet")
+            }
+            Denied::NoRoute => refused(404, None, "no route matches the host and path"),
+            Denied::UnknownKey => refused(401, None, "the key is none of a tenant"),
+        })?;
+        let route = route.clone();
+        let tenant_name = tenant.map(|tenant| tenant.name.clone());
+        let priority = tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority);
+        let service = choose_service(&route);
+        let limit_ms = fields.deadline_ms.unwrap_or(u64::MAX).min(route.time_limit_ms);
+        shared.with_budget(&service, |budget, now_ms, _| budget.request(now_ms));
+        Ok(Exchange {
+            shared: shared.clone(),
+            table,
+            service,
+            tenant: tenant_name,
+            priority,
+            head,
+            body,
+            deadline: arrived + Duration::from_millis(limit_ms),
+            fields,
+            arrived,
+            sends: 0,
+            unsent: 0,
+            may_have_run: false,
+            excluded: Vec::new(),
+            last_target: None,
+            last_failure: None,
+            first_event_at: None,
+            helpers: 0,
+            forecast_ms: 0,
+            reason: String::new(),
+            has_waited: false,
+            route,
+        })
+    }
+}
--- a/crates/mulberry-gateway/src/exchange/choice.rs
+++ b/crates/mulberry-gateway/src/exchange/choice.rs
@@ -10,9 +10,9 @@
 use rand::Rng as _;
 use tokio::time::Instant;
 
+use super::admission::wait_until;
 use super::{
     Chosen, Exchange, FULL_RETRY_MS, GivenUp, LEARNING, LEARNING_SHARE, NO_TARGET_RETRY_MS,
-    wait_until,
 };
 use crate::EventRelay;
 use crate::dialect::ForwardFields;
@@ -32,8 +32,8 @@
 /// prompt that is placed first keeps every engine from the short ones of the others.
 const LAST_TURN: Duration = Duration::from_millis(150);
 
-/// The same of the longest prompt that may still be on time, as a part of it.
-const LAST_ON_TIME: f64 = 0.6;
+/// Part of [`LAST_TURN`] that the longest prompt waits that may still be on time.
+const LONGEST_TURN_SHARE: f64 = 0.6;
 
 /// Prompt tokens from which on a prompt is among the longest.
 const LONGEST_TOKENS: f64 = 100_000.0;
@@ -71,7 +71,7 @@
             1.0
         } else {
             let length = self.fields.prompt_tokens as f64 / LONGEST_TOKENS;
-            length.min(1.0) * LAST_ON_TIME
+            length.min(1.0) * LONGEST_TURN_SHARE
         };
         let turn = now + LAST_TURN.mul_f64(share);
         tokio::time::sleep_until(turn.min(self.deadline)).await;
--- a/crates/mulberry-gateway/src/placement.rs
+++ b/crates/mulberry-gateway/src/placement.rs
@@ -370,13 +370,13 @@
 
     /// Sends lists of active requests and drops what is out of date, for good.
     pub(crate) async fn run_lists(shared: Rc<Shared>) {
-        let (mut listed_at, mut turns_left) = (None, 0);
+        let (mut listed_at, mut turns_left) = (None, 0_usize);
         loop {
             tokio::time::sleep(LIST_EVERY).await;
             let placer = &shared.placer;
             let now_ms = shared.now_ms();
             let home = placer.home(&shared);
-            turns_left = if home == listed_at { usize::saturating_sub(turns_left, 1) } else { 0 };
+            turns_left = if home == listed_at { turns_left.saturating_sub(1) } else { 0 };
             if let Some((_, address)) = home.filter(|_| turns_left == 0) {
                 listed_at = home;
                 turns_left = list_turns(shared.fleet.borrow().gateways().count());
