Leave out lines about requests last; gauges for the budget, the age of a version, lines left out

Cause: lines about requests had the limit and the queue of all others, so a storm of other lines could hide why a request failed; what was left out, the budget for further sends and the age of the version had no metric.

--- a/crates/mulberry-gateway/src/metrics.rs
+++ b/crates/mulberry-gateway/src/metrics.rs
@@ -1,5 +1,8 @@
 //! Metrics of a gateway.
 
+use std::sync::atomic::AtomicU64;
+
+use mulberry_telemetry::log_lines_left_out;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -33,6 +36,12 @@
     pub prompt: &'static str,
 }
 
+/// Labels of what is counted for each service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ServiceLabels {
+    pub service: String,
+}
+
 /// Metrics of a gateway.
 #[derive(Debug, Clone)]
 pub(crate) struct GatewayMetrics {
@@ -48,6 +57,8 @@
     pub links: Gauge,
     pub config_version: Gauge,
     pub usable_targets: Gauge,
+    pub config_age_seconds: Gauge<f64, AtomicU64>,
+    pub retry_budget_left: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
 }
 
 impl Default for GatewayMetrics {
@@ -66,6 +77,8 @@
             links: Gauge::default(),
             config_version: Gauge::default(),
             usable_targets: Gauge::default(),
+            config_age_seconds: Gauge::default(),
+            retry_budget_left: Family::default(),
         }
     }
 }
@@ -112,6 +125,21 @@
             "Targets that may get requests",
             self.usable_targets.clone(),
         );
+        r.register(
+            "mulberry_gateway_config_age_seconds",
+            "Time since the configuration came into force here",
+            self.config_age_seconds.clone(),
+        );
+        r.register(
+            "mulberry_gateway_retry_budget_left",
+            "Further sends that this gateway may make now",
+            self.retry_budget_left.clone(),
+        );
+        r.register(
+            "mulberry_log_lines_left_out",
+            "Lines of the log that were left out",
+            log_lines_left_out().clone(),
+        );
     }
 }
 
--- a/crates/mulberry-gateway/src/placement.rs
+++ b/crates/mulberry-gateway/src/placement.rs
@@ -394,6 +394,7 @@
             drop(lists);
             placer.scheduler.borrow_mut().keep_gateways(&alive);
             shared.refresh_engines();
+            shared.update_gauges();
             let fleet = shared.fleet.borrow();
             shared.pool.sweep(|id| fleet.is_present(id));
             shared.health.borrow_mut().keep(|id| fleet.is_present(id));
--- a/crates/mulberry-gateway/src/shared.rs
+++ b/crates/mulberry-gateway/src/shared.rs
@@ -10,7 +10,7 @@
 use mulberry_routes::{RouteTable, RoutingConfig};
 use tokio::sync::Notify;
 
-use crate::metrics::GatewayMetrics;
+use crate::metrics::{GatewayMetrics, ServiceLabels};
 use crate::placement::Placer;
 use crate::target_pool::TargetPool;
 use crate::{Dialect, FleetView, GatewaySettings, RetryBudget, TargetHealth};
@@ -44,6 +44,9 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
 
+    /// When the configuration came into force.
+    in_force_ms: Cell<u64>,
+
     /// Version that a registry has confirmed, if any has since the start.
     confirmed: Cell<Option<u64>>,
 
@@ -79,6 +82,7 @@
             changed: Notify::new(),
             table: RefCell::default(),
             budgets: RefCell::default(),
+            in_force_ms: Cell::default(),
             confirmed: Cell::default(),
             asked: Cell::default(),
             started: Instant::now(),
@@ -151,6 +155,7 @@
             routes = config.routes.len(),
             services = config.services.len()
         );
+        self.in_force_ms.set(self.now_ms());
         self.metrics.config_version.set(i64::try_from(config.version).unwrap_or(i64::MAX));
         *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
         self.refresh_engines();
@@ -183,6 +188,19 @@
         f(budget, now_ms, gateways)
     }
 
+    /// Brings the gauges up to date that change with time alone.
+    pub(crate) fn update_gauges(&self) {
+        let now_ms = self.now_ms();
+        let gateways = self.fleet.borrow().sharing_gateways();
+        for (service, budget) in self.budgets.borrow_mut().iter_mut() {
+            let labels = ServiceLabels { service: service.to_string() };
+            let left = budget.left(now_ms, gateways).max(0.0);
+            self.metrics.retry_budget_left.get_or_create(&labels).set(left);
+        }
+        let age_ms = now_ms.saturating_sub(self.in_force_ms.get());
+        self.metrics.config_age_seconds.set(age_ms as f64 / 1_000.0);
+    }
+
     /// Whether new requests may be served.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping.get()
--- a/crates/mulberry-registry/src/registry_metrics.rs
+++ b/crates/mulberry-registry/src/registry_metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a registry.
 
+use mulberry_telemetry::log_lines_left_out;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -68,5 +69,10 @@
         );
         r.register("mulberry_registry_targets", "Targets that have not left", self.targets.clone());
         r.register("mulberry_registry_gateways", "Gateways linked", self.gateways.clone());
+        r.register(
+            "mulberry_log_lines_left_out",
+            "Lines of the log that were left out",
+            log_lines_left_out().clone(),
+        );
     }
 }
--- a/crates/mulberry-telemetry/src/bounded_log.rs
+++ b/crates/mulberry-telemetry/src/bounded_log.rs
@@ -3,11 +3,12 @@
 use std::collections::HashMap;
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, LazyLock, Mutex, PoisonError};
 use std::thread::Builder;
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
+use prometheus_client::metrics::counter::Counter;
 use tracing::{Event, Level, Subscriber};
 use tracing_subscriber::layer::{Context, Layer, SubscriberExt as _};
 use tracing_subscriber::registry::LookupSpan;
@@ -23,6 +24,12 @@
 /// Lines of one kind that are written within [`RATE_WINDOW`], unless they tell of a failure.
 const MAX_LINES_OF_KIND: u64 = 400;
 
+/// The same for lines about a request; a gateway serves some tens of requests a second.
+const MAX_REQUEST_LINES_OF_KIND: u64 = 4_000;
+
+/// Waiting lines from which on only failures and lines about requests are queued.
+const RESERVED_FROM: usize = MAX_WAITING_LINES / 4 * 3;
+
 /// Window of the limit by kind.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
@@ -35,6 +42,12 @@
 /// Lines written together at most.
 const MAX_GATHERED_LINES: usize = 256;
 
+/// Lines that this process has left out so far.
+pub fn log_lines_left_out() -> &'static Counter {
+    static LEFT_OUT: LazyLock<Counter> = LazyLock::new(Counter::default);
+    &LEFT_OUT
+}
+
 /// Starts logging for this process on `stream`. A call never waits for the stream: when it takes no more, or when one
 /// kind of line comes too often, lines are left out and their number is written as soon as possible.
 ///
@@ -104,31 +117,40 @@
         (log, LogWriter { lines, left_out, instance: instance.to_owned() })
     }
 
-    /// Whether a line of this kind may be written now. Warnings and errors always may.
+    /// Whether a line of this kind may be written now. Warnings and errors always may, lines about requests last.
     fn is_within_rate(&self, event: &Event<'_>) -> bool {
         if *event.metadata().level() <= Level::WARN {
             return true;
         }
+        let is_about_request = event.metadata().fields().field("request_id").is_some();
+        if !is_about_request && self.lines.len() >= RESERVED_FROM {
+            return false;
+        }
         let mut kinds = self.kinds.lock().unwrap_or_else(PoisonError::into_inner);
         if kinds.0.elapsed() > RATE_WINDOW {
             *kinds = (Instant::now(), HashMap::new());
         }
         let count = kinds.1.entry(event.metadata().callsite()).or_default();
         *count += 1;
-        *count <= MAX_LINES_OF_KIND
+        *count <= if is_about_request { MAX_REQUEST_LINES_OF_KIND } else { MAX_LINES_OF_KIND }
+    }
+
+    fn leave_out(&self) {
+        self.left_out.fetch_add(1, Ordering::Relaxed);
+        log_lines_left_out().inc();
     }
 }
 
 impl<S: Subscriber + for<'a> LookupSpan<'a>> Layer<S> for BoundedLog {
     fn on_event(&self, event: &Event<'_>, _context: Context<'_, S>) {
         if !self.is_within_rate(event) {
-            self.left_out.fetch_add(1, Ordering::Relaxed);
+            self.leave_out();
             return;
         }
         if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
             self.lines.try_send(format_line(&self.instance, event))
         {
-            self.left_out.fetch_add(1, Ordering::Relaxed);
+            self.leave_out();
         }
     }
 }
--- a/crates/mulberry-telemetry/src/lib.rs
+++ b/crates/mulberry-telemetry/src/lib.rs
@@ -7,7 +7,7 @@
 mod metrics_server;
 mod platform_server;
 
-pub use bounded_log::{BoundedLog, LogGuard, LogWriter, init_bounded_log};
+pub use bounded_log::{BoundedLog, LogGuard, LogWriter, init_bounded_log, log_lines_left_out};
 pub use error_line::error_line;
 pub use health::Health;
 pub use logging::{LogLevel, check_log_level, init_logging};
--- a/crates/mulberry-telemetry/tests/bounded_log.rs
+++ b/crates/mulberry-telemetry/tests/bounded_log.rs
@@ -59,6 +59,32 @@
     assert_eq!(lines + left_out, 50_000, "each line is written or counted");
 }
 
+#[test]
+fn lines_about_requests_are_left_out_last() {
+    let (log, writer) = BoundedLog::new("test");
+    let text: Arc<Mutex<Vec<u8>>> = Arc::default();
+    let (go, stalled) = channel();
+    let stream = Stalled { go: stalled, text: text.clone(), is_free: false };
+    let written = thread::spawn(move || writer.run(stream));
+    let before = mulberry_telemetry::log_lines_left_out().get();
+    tracing::subscriber::with_default(Registry::default().with(log), || {
+        for number in 0..6_500 {
+            tracing::warn!(event = "storm", number);
+        }
+        tracing::info!(event = "usual");
+        for number in 0..1_000 {
+            tracing::info!(event = "ended", request_id = "r", number);
+        }
+    });
+    assert!(mulberry_telemetry::log_lines_left_out().get() > before, "the counter shows it");
+    go.send(()).expect("the writer waits");
+    written.join().expect("the writer ends with the log");
+    let text = String::from_utf8(text.lock().expect("not poisoned").clone()).expect("text");
+    let count = |event: &str| text.lines().filter(|line| line.contains(event)).count();
+    assert_eq!(count("event=ended"), 1_000);
+    assert_eq!(count("event=usual"), 0, "there was room for requests only");
+}
+
 #[test]
 fn one_kind_of_line_is_limited_but_failures_are_not() {
     let (log, writer) = BoundedLog::new("test");
