--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -26,7 +26,7 @@
 use crate::peer_message::{PeerHello, PeerMessage};
 use crate::registry_metrics::RegistryMetrics;
 use crate::restored_targets::RestoredTargets;
-use crate::{OperatorState, RegistrySettings};
+use crate::{Command, OperatorState, RegistrySettings};
 
 /// Interval between gossip rounds with the other registries and the gateways.
 const GOSSIP_INTERVAL_MS: u64 = 700;
@@ -95,6 +95,9 @@
     /// Index of the last log entry recovered from disk.
     recovered_index: u64,
 
+    /// Addresses of members according to the whole log recovered from disk, of which some entries may not be committed.
+    recovered_addresses: BTreeMap<u64, SocketAddr>,
+
     last_request_id: u64,
     forwarded_proposals: HashMap<u64, oneshot::Sender<bool>>,
     read_index_requests: HashMap<u64, oneshot::Sender<Option<u64>>>,
@@ -140,6 +143,7 @@
             published_versions: (0, 0),
             published_confirmed: false,
             recovered_index: 0,
+            recovered_addresses: BTreeMap::new(),
             last_request_id: 0,
             forwarded_proposals: HashMap::new(),
             read_index_requests: HashMap::new(),
@@ -327,6 +331,7 @@
             },
             _ => Vec::new(),
         };
+        self.recovered_addresses = recovered_addresses(&durable);
         let raft = Raft::new(raft_settings(member), durable, now_ms);
         tracing::info!(
             event = "disk_open",
@@ -478,7 +483,7 @@
         peers.extend(self.hellos.keys());
         if let Some(replica) = &self.replica {
             let members: Vec<u64> = replica.raft.members().all().map(|member| member.0).collect();
-            let addresses = replica.state.addresses.iter();
+            let addresses = self.member_addresses().iter();
             peers.extend(
                 addresses
                     .filter(|(member, _)| members.contains(member))
@@ -491,10 +496,18 @@
 
     fn address_of(&self, member: MemberId) -> Option<SocketAddr> {
         let hello = self.hellos.values().find(|(hello, _)| hello.member == member.0);
-        hello.map(|(hello, _)| hello.address).or_else(|| {
-            let state = self.state()?;
-            state.addresses.get(&member.0).copied()
-        })
+        hello
+            .map(|(hello, _)| hello.address)
+            .or_else(|| self.member_addresses().get(&member.0).copied())
+    }
+
+    /// Last known addresses of members. After a restart of all registries nothing is committed until voters have
+    /// elected a leader, and voters that know only the seeds reach each other by the addresses in their logs.
+    fn member_addresses(&self) -> &BTreeMap<u64, SocketAddr> {
+        match self.state() {
+            Some(state) if state.applied_index >= self.recovered_index => &state.addresses,
+            _ => &self.recovered_addresses,
+        }
     }
 
     fn send_to(&mut self, member: MemberId, message: PeerMessage) {
@@ -503,3 +516,18 @@
         }
     }
 }
+
+/// Addresses of members after the last entry of a log.
+fn recovered_addresses(durable: &DurableState) -> BTreeMap<u64, SocketAddr> {
+    let snapshot = durable.snapshot.as_ref();
+    let mut state: OperatorState = snapshot
+        .and_then(|snapshot| postcard::from_bytes(&snapshot.data).ok())
+        .unwrap_or_default();
+    for entry in &durable.entries {
+        let Payload::Command(bytes) = &entry.payload else { continue };
+        if let Ok(command @ Command::SetMemberAddress { .. }) = postcard::from_bytes(bytes) {
+            state.apply(entry.index, command);
+        }
+    }
+    state.addresses
+}
--- a/crates/mulberry-registry/tests/group.rs
+++ b/crates/mulberry-registry/tests/group.rs
@@ -245,6 +245,26 @@
     assert_eq!(group.request_until_ok(2, "GET", "/config", ""), "60 content");
 }
 
+/// The voters that formed the group know only the seeds after a restart of all members, and the seeds may have been
+/// changed to members that are no voters.
+#[test]
+fn voters_find_each_other_after_a_restart_with_seeds_that_are_no_voters() {
+    let mut group = Group::form("turnover", 80, &[1, 2, 3]);
+    group.request_until_ok(1, "PUT", "/config", "1 a");
+    for learner in [4, 5, 6] {
+        group.start(learner, false);
+        group.request_until_ok(learner, "GET", "/config", "");
+    }
+    for member in 1..=6 {
+        group.stop(member);
+    }
+    group.seeds = vec![4, 5, 6];
+    for member in 1..=6 {
+        group.start(member, false);
+    }
+    assert_eq!(group.request_until_ok(2, "GET", "/config", ""), "1 a");
+}
+
 #[test]
 fn a_member_with_a_lost_disk_rejoins_as_a_voter() {
     let mut group = Group::form("disk", 74, &[1, 2, 3]);
