--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -520,9 +520,8 @@
 /// Addresses of members after the last entry of a log.
 fn recovered_addresses(durable: &DurableState) -> BTreeMap<u64, SocketAddr> {
     let snapshot = durable.snapshot.as_ref();
-    let mut state: OperatorState = snapshot
-        .and_then(|snapshot| postcard::from_bytes(&snapshot.data).ok())
-        .unwrap_or_default();
+    let mut state: OperatorState =
+        snapshot.and_then(|snapshot| postcard::from_bytes(&snapshot.data).ok()).unwrap_or_default();
     for entry in &durable.entries {
         let Payload::Command(bytes) = &entry.payload else { continue };
         if let Ok(command @ Command::SetMemberAddress { .. }) = postcard::from_bytes(bytes) {
