--- a/crates/mulberry-gateway/src/home_role.rs
+++ b/crates/mulberry-gateway/src/home_role.rs
@@ -60,10 +60,9 @@
         PlacementReply { decision, prefill_load_percent, is_granted }
     }
 
-    /// Removes expired state. `gateways` is the number of gateways that use this home. Returns false if no gateway uses
-    /// it any more.
-    pub fn expire(&mut self, now_ms: u64, gateways: usize) -> bool {
-        self.coordinator.expire(now_ms, gateways);
+    /// Removes expired state. Returns false if no gateway uses this home any more.
+    pub fn expire(&mut self, now_ms: u64) -> bool {
+        self.coordinator.expire(now_ms);
         self.grants.retain(|job| self.coordinator.contains_job(job));
         !self.coordinator.is_idle(now_ms)
     }
--- a/crates/mulberry-gateway/src/placement.rs
+++ b/crates/mulberry-gateway/src/placement.rs
@@ -600,9 +600,8 @@
             let placer = &shared.placer;
             placer.sync_active_jobs(&shared, &mut schedules);
             let now_ms = shared.now_ms();
-            let gateways = placer.gateways_with_same_home(&shared);
             placer.home_roles.borrow_mut().retain(|group, role| {
-                let is_in_use = role.expire(now_ms, gateways);
+                let is_in_use = role.expire(now_ms);
                 if !is_in_use {
                     tracing::info!(event = "home_ended", group = %group);
                 }
--- a/crates/mulberry-scheduler/src/group_coordinator.rs
+++ b/crates/mulberry-scheduler/src/group_coordinator.rs
@@ -12,13 +12,10 @@
     SchedulerSettings,
 };
 
-/// Share of the cold-start rate limit used by a coordinator to which a majority of the gateways report. While gateways
-/// disagree about the coordinator, a second one and gateways that place independently may use shares as well; together
-/// they stay below the 1.5 times the limit that engines tolerate.
-const MAJORITY_COLD_SHARE: f64 = 0.75;
-
-/// Like [`MAJORITY_COLD_SHARE`], for a coordinator to which fewer gateways report.
-const MINORITY_COLD_SHARE: f64 = 0.55;
+/// Share of the cold-start rate limit that a coordinator uses for cold engines. While gateways disagree about the
+/// coordinator, a second one uses the same share, and gateways that place independently use 0.4 together; in total that
+/// is the 1.5 times the limit that engines tolerate.
+const COLD_SHARE: f64 = 0.55;
 
 /// Share of the cold-start rate limit used for engines that are not known to be cold.
 const WARM_SHARE: f64 = 0.8;
@@ -27,13 +24,6 @@
 /// the window of the rate limit, which the previous coordinator may have used up.
 const COLD_START_DELAY_MS: u64 = 1_000;
 
-/// Like [`COLD_START_DELAY_MS`], before it uses [`MAJORITY_COLD_SHARE`]: by then the previous coordinator no longer
-/// counts the lists of gateways that have switched.
-const MAJORITY_DELAY_MS: u64 = 3_000;
-
-/// Time after a job list for which its gateway counts as reporting here; gateways send one at least every 1.2 s.
-const REPORTING_WINDOW_MS: u64 = 1_500;
-
 /// Maximum time between two messages to an active coordinator. After a longer silence another gateway may have been the
 /// coordinator in the meantime. Gateways send their job lists more often.
 const MAX_SILENCE_MS: u64 = 1_500;
@@ -75,9 +65,6 @@
     active_since_ms: u64,
 
     last_message_ms: u64,
-
-    /// Known number of gateways that should report to this coordinator.
-    gateways: usize,
 }
 
 impl GroupCoordinator {
@@ -87,7 +74,6 @@
             listed_at_ms: HashMap::new(),
             active_since_ms: now_ms,
             last_message_ms: now_ms,
-            gateways: 0,
         }
     }
 
@@ -143,10 +129,8 @@
         self.scheduler.add_active_job(now_ms, gateway, job);
     }
 
-    /// Removes the requests of gateways that no longer send lists. `gateways` is the number of gateways that should
-    /// send theirs to this coordinator.
-    pub fn expire(&mut self, now_ms: u64, gateways: usize) {
-        self.gateways = gateways;
+    /// Removes the requests of gateways that no longer send lists.
+    pub fn expire(&mut self, now_ms: u64) {
         self.listed_at_ms.retain(|_, at_ms| *at_ms + LIST_EXPIRY_MS > now_ms);
         let alive: HashSet<u64> = self.listed_at_ms.keys().copied().collect();
         self.scheduler.retain_gateways(&alive);
@@ -169,20 +153,7 @@
 
     /// Share of the cold-start rate limit that may be used now.
     fn cold_share(&self, now_ms: u64) -> f64 {
-        let active_ms = now_ms - self.active_since_ms;
-        if active_ms < COLD_START_DELAY_MS {
-            return 0.0;
-        }
-        let reporting = self
-            .listed_at_ms
-            .values()
-            .filter(|at_ms| **at_ms + REPORTING_WINDOW_MS > now_ms)
-            .count();
-        if active_ms >= MAJORITY_DELAY_MS && reporting * 2 > self.gateways {
-            MAJORITY_COLD_SHARE
-        } else {
-            MINORITY_COLD_SHARE
-        }
+        if now_ms - self.active_since_ms < COLD_START_DELAY_MS { 0.0 } else { COLD_SHARE }
     }
 
     /// Records the arrival of a message. Silence is measured between messages, so that it also covers a pause of this
--- a/crates/mulberry-scheduler/tests/groups.rs
+++ b/crates/mulberry-scheduler/tests/groups.rs
@@ -234,7 +234,7 @@
                     }
                     coordinators[*to].sync_jobs(now_ms, gateway as u64, 0, &[]);
                 }
-                coordinators.iter_mut().for_each(|coordinator| coordinator.expire(now_ms, GATEWAYS as usize));
+                coordinators.iter_mut().for_each(|coordinator| coordinator.expire(now_ms));
             }
             let placed = match decider {
                 Decider::Coordinator(0) if is_paused => false,
