--- a/crates/mulberry-scheduler/src/baseline.rs
+++ b/crates/mulberry-scheduler/src/baseline.rs
@@ -7,9 +7,11 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
+use mulberry_routes::EngineProfile;
+
 use crate::JobSpec;
 use crate::engine_state::EngineState;
-use crate::pool::{Candidate, Plan, Pool};
+use crate::plan::{Candidate, Plan, PlanCost};
 
 /// Interval between two load reports of an engine, in milliseconds. Equal to the report lag that engines publish.
 const REPORT_INTERVAL_MS: u64 = 200;
@@ -83,12 +85,11 @@
             self.reports = engines.iter().map(load).collect();
         }
     }
-}
 
-impl Pool {
     /// The placement by a baseline policy; `None` if no engine has room.
-    pub(crate) fn baseline_plan(
+    pub(crate) fn plan(
         &self,
+        profile: &EngineProfile,
         spec: &JobSpec,
         candidates: &[Candidate<'_>],
         policy: PlacementPolicy,
@@ -96,7 +97,7 @@
         let tokens = spec.prompt_tokens + spec.max_output_tokens;
         let with_room: Vec<&Candidate<'_>> =
             candidates.iter().filter(|c| c.may_decode && c.free_tokens >= tokens).collect();
-        let BaselineState { turn, reports, .. } = &self.baseline;
+        let BaselineState { turn, reports, .. } = self;
         let chosen = match policy {
             PlacementPolicy::LeastReportedLoad => with_room
                 .iter()
@@ -105,15 +106,14 @@
                 with_room.get(turn % with_room.len().max(1))?
             }
         };
-        let prefill_ms = self.profile.prefill_ms(spec.prompt_tokens);
+        let prefill_ms = profile.prefill_ms(spec.prompt_tokens);
         let end_ms =
             EngineState::prefill_end_ms(chosen.backlog_ms, prefill_ms, chosen.iteration_ms);
         Some(Plan {
             primary: chosen.engine.id.clone(),
             helpers: Vec::new(),
             first_event_ms: end_ms + chosen.iteration_ms,
-            cost: 0.0,
-            packing_cost: 0.0,
+            cost: PlanCost::default(),
         })
     }
 }
--- a/crates/mulberry-scheduler/src/engine_state.rs
+++ b/crates/mulberry-scheduler/src/engine_state.rs
@@ -6,7 +6,7 @@
 use mulberry_routes::{ColdStartLimit, EngineProfile};
 
 use crate::cost::{Deadlines, value};
-use crate::scheduler::Job;
+use crate::tracked_job::TrackedJob;
 use crate::{JobId, JobSpec, SchedulerSettings};
 
 /// Remaining prefill time assumed for an overdue part, until the first event confirms that it has finished.
@@ -217,7 +217,7 @@
         &self,
         now_ms: u64,
         part_ms: f64,
-        jobs: &HashMap<JobId, Job>,
+        jobs: &HashMap<JobId, TrackedJob>,
     ) -> f64 {
         self.prefills
             .iter()
--- a/crates/mulberry-scheduler/src/lib.rs
+++ b/crates/mulberry-scheduler/src/lib.rs
@@ -10,11 +10,14 @@
 mod demand;
 mod engine_groups;
 mod engine_state;
+mod engine_time_price;
 mod group_coordinator;
 mod job;
+mod plan;
 mod pool;
 mod scheduler;
 mod settings;
+mod tracked_job;
 
 pub use baseline::{PlacementPolicy, UnknownPolicy};
 pub use cost::abandonment_timeout_ms;
--- a/crates/mulberry-scheduler/src/pool.rs
+++ b/crates/mulberry-scheduler/src/pool.rs
@@ -1,6 +1,6 @@
 //! Engines of one service and the evaluation of placements on them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use mulberry_routes::{ColdStartLimit, EngineProfile};
@@ -8,9 +8,10 @@
 use crate::baseline::BaselineState;
 use crate::cost::{Deadlines, Risk, value};
 use crate::demand::Demand;
-use crate::engine_state::{EngineState, ValueByEventGap};
-use crate::scheduler::Job;
-use crate::{Helper, JobId, JobSpec, SchedulerSettings};
+use crate::engine_state::EngineState;
+use crate::engine_time_price::EngineTimePrice;
+use crate::plan::{Candidate, Plan, PlanCost, PlanInput};
+use crate::{Helper, JobSpec, SchedulerSettings};
 
 /// Cost of an engine in another zone, as a fraction of the request's value, for the traffic between zones.
 const CROSS_ZONE_COST: f64 = 0.01;
@@ -28,9 +29,6 @@
 /// Wait beyond which the wait cost no longer grows, as a multiple of the latency SLO.
 const MAX_WAIT_SLOS: f64 = 3.0;
 
-/// Cost of a millisecond of prefill while all engines are busy with prefill, for the prompts that have to wait.
-const PREFILL_MS_COST: f64 = 0.005;
-
 /// Prefill backlog at which an engine counts as fully busy.
 const BUSY_BACKLOG_MS: f64 = 400.0;
 
@@ -81,32 +79,10 @@
     /// Rate of recent arrivals.
     pub demand: Demand,
 
+    pub price: EngineTimePrice,
     pub baseline: BaselineState,
 }
 
-/// An engine as a candidate for one request.
-#[derive(Debug)]
-pub(crate) struct Candidate<'a> {
-    pub engine: &'a EngineState,
-    pub iteration_ms: f64,
-    pub backlog_ms: f64,
-
-    /// Value of the requests held there.
-    value_by_event_gap: ValueByEventGap,
-
-    /// Whether it may be the primary engine, which decodes the request.
-    pub may_decode: bool,
-
-    /// Free KV cache memory.
-    pub free_tokens: u64,
-
-    /// Cost of adding the request to those that the engine already holds.
-    hold_cost: f64,
-
-    /// Whether a short request placed there starts at once.
-    is_free: bool,
-}
-
 /// A candidate evaluated for one part of a prompt.
 #[derive(Debug)]
 struct ScoredCandidate<'a> {
@@ -121,19 +97,6 @@
     candidate: &'a Candidate<'a>,
 }
 
-/// A possible placement of a request.
-#[derive(Debug)]
-pub(crate) struct Plan {
-    pub primary: Arc<str>,
-    pub helpers: Vec<Helper>,
-    pub first_event_ms: f64,
-    pub cost: f64,
-
-    /// Portion of the cost that only steers the choice of engine, such as packing and zone, and must not lead to a
-    /// refusal.
-    pub packing_cost: f64,
-}
-
 impl Pool {
     pub(crate) fn candidates(
         &self,
@@ -187,14 +150,8 @@
     }
 
     /// The cheapest placement with prefill on `size` engines; `None` if there is none.
-    pub(crate) fn plan(
-        &self,
-        now_ms: u64,
-        spec: &JobSpec,
-        candidates: &[Candidate<'_>],
-        size: usize,
-        jobs: &HashMap<JobId, Job>,
-    ) -> Option<Plan> {
+    pub(crate) fn plan(&self, input: &PlanInput<'_>, size: usize) -> Option<Plan> {
+        let PlanInput { now_ms, spec, candidates, jobs, price_per_ms } = *input;
         let part_ms = self.profile.prefill_ms(spec.prompt_tokens) / size as f64;
         let request_value = value(spec.prompt_tokens);
         let deadlines = deadlines(spec);
@@ -262,22 +219,20 @@
         let first_event_ms = prefill_end_ms
             + self.profile.iteration_ms(1, spec.prompt_tokens).max(primary.iteration_ms);
         let borrowing = tokens.saturating_sub(primary.free_tokens) as f64 / tokens as f64;
-        let packing_cost = primary.hold_cost;
-        let arrival_loss = match self.demand.expected_loss(now_ms, part_ms) {
+        let arrivals = match self.demand.expected_loss(now_ms, part_ms) {
             loss if loss > 0.0 => loss * self.shortage(spec, candidates, primary, &helpers),
             _ => 0.0,
         };
-        let cost = own_loss(first_event_ms, gap_risk(spec, primary))
-            + primary_interference
-            + interference
-            + borrowing * BORROWING_COST
-            + HELPER_COST * helpers.len() as f64
-            + self.profile.prefill_ms(spec.prompt_tokens)
-                * PREFILL_MS_COST
-                * self.prefill_load.powi(2)
-            + arrival_loss
-            + wait_cost(first_event_ms)
-            + packing_cost;
+        let cost = PlanCost {
+            own_loss: own_loss(first_event_ms, gap_risk(spec, primary)),
+            wait: wait_cost(first_event_ms),
+            interference: primary_interference + interference,
+            borrowing: borrowing * BORROWING_COST,
+            helpers: HELPER_COST * helpers.len() as f64,
+            engine_time: self.profile.prefill_ms(spec.prompt_tokens) * price_per_ms,
+            arrivals,
+            packing: primary.hold_cost,
+        };
         let helpers = helpers.iter().zip(lent).map(|(helper, lent_tokens)| Helper {
             engine: helper.candidate.engine.id.clone(),
             lent_tokens,
@@ -287,10 +242,15 @@
             helpers: helpers.collect(),
             first_event_ms,
             cost,
-            packing_cost,
         })
     }
 
+    /// Engine time that decoding an output of mean length takes, if all slots are in use.
+    pub(crate) fn mean_decode_share_ms(&self) -> f64 {
+        self.profile.mean_output_tokens as f64 * self.profile.step_ms
+            / f64::from(self.profile.slots.max(1))
+    }
+
     /// Updates the moving average of the prefill load.
     pub(crate) fn update_prefill_load(&mut self, now_ms: u64) {
         if self.engines.is_empty() {
--- a/crates/mulberry-scheduler/src/scheduler.rs
+++ b/crates/mulberry-scheduler/src/scheduler.rs
@@ -6,13 +6,16 @@
 use mulberry_routes::{ColdStartLimit, EngineProfile};
 
 use crate::baseline::BaselineState;
-use crate::cost::{Deadlines, value};
+use crate::cost::value;
 use crate::demand::Demand;
 use crate::engine_state::EngineState;
-use crate::pool::{Plan, Pool, deadlines};
+use crate::engine_time_price::EngineTimePrice;
+use crate::plan::{Plan, PlanInput};
+use crate::pool::{Pool, deadlines};
+use crate::tracked_job::TrackedJob;
 use crate::{
-    ActiveJob, Decision, EngineInfo, Helper, JobId, JobSpec, Outcome, Placement, PlacementPolicy,
-    Refusal, RefusalCause, SchedulerSettings,
+    ActiveJob, Decision, EngineInfo, JobId, JobSpec, Outcome, Placement, PlacementPolicy, Refusal,
+    RefusalCause, SchedulerSettings,
 };
 
 /// Numbers of engines considered for the prefill of one prompt.
@@ -21,36 +24,12 @@
 /// Cost of a refusal, as a multiple of the request's value; above 1 since the caller has to retry.
 const REFUSAL_COST: f64 = 1.3;
 
-/// Approximate time from the end of prefill to the first event.
-const FIRST_EVENT_DELAY_MS: f64 = 60.0;
-
 /// State of all engines and jobs known to one gateway.
 #[derive(Debug)]
 pub struct Scheduler {
     settings: SchedulerSettings,
     pools: HashMap<Arc<str>, Pool>,
-    jobs: HashMap<JobId, Job>,
-}
-
-/// A placed request.
-#[derive(Debug)]
-pub(crate) struct Job {
-    service: Arc<str>,
-    engine: Arc<str>,
-    helpers: Vec<Helper>,
-
-    /// Expected time at which all parts of its prompt have been prefilled.
-    prefill_end_ms: f64,
-
-    placed_ms: f64,
-
-    /// Deadlines of its first event, relative to `placed_ms`.
-    deadlines: Deadlines,
-
-    value: f64,
-
-    /// Forecast of the time to its first event, made at placement.
-    first_event_ms: u64,
+    jobs: HashMap<JobId, TrackedJob>,
 }
 
 impl Scheduler {
@@ -74,6 +53,7 @@
             prefill_load: 0.0,
             prefill_load_at_ms: now_ms,
             demand: Demand::default(),
+            price: EngineTimePrice::default(),
             baseline: BaselineState::default(),
         });
         pool.profile = profile.clone();
@@ -126,7 +106,7 @@
         let refusal_cost = value(spec.prompt_tokens) * REFUSAL_COST;
         let cause = if plan.first_event_ms > max_wait_ms(spec) {
             Some(RefusalCause::TooLate)
-        } else if plan.cost - plan.packing_cost > refusal_cost {
+        } else if plan.cost.without_packing() > refusal_cost {
             Some(RefusalCause::TooCostly)
         } else {
             None
@@ -278,7 +258,7 @@
                 other.prefill_end_ms = other.prefill_end_ms.max(end_ms);
             }
         }
-        let entry = Job {
+        let entry = TrackedJob {
             service: spec.service.clone(),
             engine: placement.engine.clone(),
             helpers: placement.helpers.clone(),
@@ -305,16 +285,26 @@
         let settings = self.settings.clone();
         let pool = self.pools.get_mut(&spec.service)?;
         pool.update_prefill_load(now_ms);
-        pool.demand.record_arrival(now_ms, spec.max_event_gap_ms, value(spec.prompt_tokens));
+        let request_value = value(spec.prompt_tokens);
+        pool.demand.record_arrival(now_ms, spec.max_event_gap_ms, request_value);
+        let engine_ms = pool.profile.prefill_ms(spec.prompt_tokens) + pool.mean_decode_share_ms();
+        pool.price.record_arrival(now_ms, spec.slo_left_ms, engine_ms, request_value);
         if settings.policy != PlacementPolicy::ExpectedCost {
             pool.baseline.begin_placement(now_ms, &pool.engines);
         }
         let pool = &*pool;
         let candidates = pool.candidates(now_ms, spec, &settings);
         if settings.policy != PlacementPolicy::ExpectedCost {
-            return pool.baseline_plan(spec, &candidates, settings.policy);
+            return pool.baseline.plan(&pool.profile, spec, &candidates, settings.policy);
         }
         let single_engine_ms = pool.profile.prefill_ms(spec.prompt_tokens);
+        let input = PlanInput {
+            now_ms,
+            spec,
+            candidates: &candidates,
+            jobs: &self.jobs,
+            price_per_ms: pool.price.per_ms(pool.engines.len()) * settings.engine_time_price,
+        };
         let mut best: Option<Plan> = None;
         for size in PREFILL_GROUP_SIZES {
             if size > 1 && single_engine_ms / (size as f64) < settings.min_prefill_part_ms {
@@ -323,10 +313,10 @@
             if size > candidates.len() || size > settings.max_helpers + 1 {
                 break;
             }
-            let Some(plan) = pool.plan(now_ms, spec, &candidates, size, &self.jobs) else {
+            let Some(plan) = pool.plan(&input, size) else {
                 continue;
             };
-            if best.as_ref().is_none_or(|best| plan.cost < best.cost) {
+            if best.as_ref().is_none_or(|best| plan.cost.total() < best.cost.total()) {
                 best = Some(plan);
             }
         }
@@ -364,21 +354,3 @@
 fn max_wait_ms(spec: &JobSpec) -> f64 {
     if spec.max_event_gap_ms > 0 { deadlines(spec).give_up_ms } else { spec.time_left_ms as f64 }
 }
-
-impl Job {
-    /// Expected loss of value when the prefill ends at `end_ms` instead of at the expected time.
-    pub(crate) fn delay_loss(&self, now_ms: u64, end_ms: f64) -> f64 {
-        if end_ms <= self.prefill_end_ms {
-            return 0.0;
-        }
-        let now_ms = now_ms as f64;
-        let deadlines = self.deadlines.after(now_ms - self.placed_ms);
-        let loss = |at_ms: f64| deadlines.loss((at_ms - now_ms).max(0.0) + FIRST_EVENT_DELAY_MS);
-        (loss(end_ms) - loss(self.prefill_end_ms)) * self.value
-    }
-
-    /// All engines that the job uses.
-    fn engines(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.helpers.iter().map(|helper| &helper.engine).chain([&self.engine])
-    }
-}
--- a/crates/mulberry-scheduler/src/settings.rs
+++ b/crates/mulberry-scheduler/src/settings.rs
@@ -15,6 +15,9 @@
     /// helper takes longer than the helper saves.
     pub min_prefill_part_ms: f64,
 
+    /// Factor on the price of engine time; 0 if engine time is free.
+    pub engine_time_price: f64,
+
     /// Requests placed on one engine at a time, as a fraction of its slots; the rest is reserved for requests already
     /// in transit.
     pub slot_share: f64,
@@ -56,6 +59,7 @@
             policy: PlacementPolicy::default(),
             max_helpers: 16,
             min_prefill_part_ms: 20.0,
+            engine_time_price: 1.0,
             slot_share: 1.0,
             memory_share: 0.95,
             cold_share: 0.8,
--- a/crates/mulberry-scheduler/tests/common/mod.rs
+++ b/crates/mulberry-scheduler/tests/common/mod.rs
@@ -1,20 +1,23 @@
-//! A discrete-time simulation of engines, and load scenarios for it.
+//! Fleets and loads for the simulation of engines.
 
 #![allow(dead_code, reason = "each test file uses only some of the items")]
+#![allow(unused_imports, reason = "each test file uses only some of the items")]
 
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+pub mod scenario;
+pub mod simulation;
+
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use mulberry_routes::EngineProfile;
 use mulberry_scheduler::{
     Decision, EngineGroups, EngineInfo, GroupCoordinator, GroupLoads, JobId, JobSpec, Outcome,
-    Placement, Refusal, Scheduler, SchedulerSettings, ServiceEngines,
+    Scheduler, SchedulerSettings, ServiceEngines,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// Time step of the simulation.
-const TICK_MS: u64 = 2;
+pub use simulation::{Fleet, RequestResult, simulate};
 
 /// Profile of an engine with 16 slots and memory for 315,000 tokens.
 pub fn profile() -> EngineProfile {
@@ -75,20 +78,6 @@
     pub events: u32,
 }
 
-/// Result of one simulated request.
-#[derive(Debug, Clone, PartialEq)]
-pub struct RequestResult {
-    pub prompt_tokens: u64,
-
-    /// Whether its last attempt was refused.
-    pub is_refused: bool,
-
-    /// Number of refusals.
-    pub refusals: u32,
-    pub is_on_time: bool,
-    pub is_served: bool,
-}
-
 /// How requests are placed.
 pub enum Placer {
     Scheduler(Box<Scheduler>),
@@ -100,6 +89,41 @@
     Groups(Box<Groups>),
 }
 
+impl Placer {
+    pub fn set_engines(&mut self, now_ms: u64, profile: &EngineProfile, usable: &[EngineInfo]) {
+        match self {
+            Placer::Scheduler(scheduler) => {
+                scheduler.set_engines(now_ms, &"pool".into(), profile, None, usable);
+            }
+            Placer::Groups(_) | Placer::RoundRobin(_) => panic!("changes need one scheduler"),
+        }
+    }
+
+    pub fn first_event(&mut self, job: JobId) {
+        match self {
+            Placer::Scheduler(scheduler) => scheduler.first_event(job),
+            Placer::Groups(groups) => {
+                if let Some(coordinator) = groups.coordinator_for(job) {
+                    coordinator.first_event(job);
+                }
+            }
+            Placer::RoundRobin(_) => {}
+        }
+    }
+
+    pub fn finish(&mut self, now_ms: u64, job: JobId, outcome: Outcome) {
+        match self {
+            Placer::Scheduler(scheduler) => scheduler.finish(now_ms, job, outcome),
+            Placer::Groups(groups) => {
+                if let Some(coordinator) = groups.coordinator_for(job) {
+                    coordinator.finish(now_ms, job, outcome);
+                }
+            }
+            Placer::RoundRobin(_) => {}
+        }
+    }
+}
+
 /// Coordinators by zone, and the state with which gateways choose among them.
 pub struct Groups {
     coordinators: BTreeMap<Arc<str>, GroupCoordinator>,
@@ -181,239 +205,6 @@
     }
 }
 
-/// A simulated engine.
-#[derive(Debug, Default)]
-struct Engine {
-    /// Prompt parts to prefill, with the request and the remaining time in milliseconds. Helper parts come first.
-    prefills: Vec<(usize, f64)>,
-
-    /// Decoding requests, with the steps until their next event.
-    decoding: Vec<(usize, u32)>,
-
-    /// End of the last step.
-    free_at_ms: f64,
-}
-
-/// A placed request in simulation.
-#[derive(Debug)]
-struct RunningRequest {
-    /// Number of prompt parts that are not yet prefilled.
-    parts_left: usize,
-    engine: usize,
-    events_left: u32,
-    last_event_ms: Option<f64>,
-    max_gap_ms: f64,
-    first_event_ms: Option<f64>,
-}
-
-/// Simulates a load without retries and returns the result of each request.
-pub fn simulate(engine_count: usize, arrivals: &[Arrival], placer: Placer) -> Vec<RequestResult> {
-    simulate_with_retries(engine_count, arrivals, placer, 0)
-}
-
-/// Simulates a load whose callers retry a refused request after the given delay, up to `max_retries` times, and returns
-/// the result of each request. Callers wait at most a third of the time left until their deadline.
-pub fn simulate_with_retries(
-    engine_count: usize,
-    arrivals: &[Arrival],
-    mut placer: Placer,
-    max_retries: u32,
-) -> Vec<RequestResult> {
-    let profile = profile();
-    let ids: Vec<Arc<str>> = engines(engine_count).into_iter().map(|e| e.id).collect();
-    let index_of = |id: &Arc<str>| ids.iter().position(|known| known == id).expect("known engine");
-    let mut engines: Vec<Engine> = (0..engine_count).map(|_| Engine::default()).collect();
-    let mut running: BTreeMap<usize, RunningRequest> = BTreeMap::new();
-    let mut refused = HashSet::new();
-    let mut refusals = vec![0; arrivals.len()];
-    let first_attempts =
-        arrivals.iter().enumerate().map(|(request, arrival)| (arrival.at_ms, request));
-    let mut attempts: BTreeSet<(u64, usize)> = first_attempts.collect();
-    let mut completed: BTreeMap<usize, RunningRequest> = BTreeMap::new();
-    let end_ms = arrivals.iter().map(|arrival| arrival.at_ms).max().unwrap_or(0) + 20_000;
-    let mut now_ms = 0;
-    while now_ms < end_ms {
-        while attempts.first().is_some_and(|(at_ms, _)| *at_ms <= now_ms) {
-            let Some((_, request)) = attempts.pop_first() else { break };
-            let arrival = &arrivals[request];
-            let passed_ms = now_ms - arrival.at_ms;
-            let spec = JobSpec {
-                time_left_ms: arrival.spec.time_left_ms.saturating_sub(passed_ms),
-                slo_left_ms: if std::env::var("L").is_ok() {
-                    arrival.spec.slo_left_ms.saturating_sub(passed_ms)
-                } else {
-                    arrival.spec.slo_left_ms
-                },
-                ..arrival.spec.clone()
-            };
-            let decision = match &mut placer {
-                Placer::Scheduler(scheduler) => scheduler.place(now_ms, job(request as u64), &spec),
-                Placer::Groups(groups) => groups.place(now_ms, job(request as u64), &spec),
-                Placer::RoundRobin(last) => {
-                    *last = (*last + 1) % engine_count;
-                    Decision::Placed(Placement {
-                        engine: ids[*last].clone(),
-                        helpers: Vec::new(),
-                        first_event_ms: 0,
-                    })
-                }
-            };
-            match decision {
-                Decision::Placed(placement) => {
-                    let group_size = 1 + placement.helpers.len();
-                    let part_ms =
-                        profile.prefill_ms(arrival.spec.prompt_tokens) / group_size as f64;
-                    let engine = index_of(&placement.engine);
-                    engines[engine].prefills.push((request, part_ms));
-                    for helper in &placement.helpers {
-                        engines[index_of(&helper.engine)].prefills.insert(0, (request, part_ms));
-                    }
-                    running.insert(
-                        request,
-                        RunningRequest {
-                            parts_left: group_size,
-                            engine,
-                            events_left: arrival.events,
-                            last_event_ms: None,
-                            max_gap_ms: 0.0,
-                            first_event_ms: None,
-                        },
-                    );
-                }
-                Decision::Refused(Refusal { retry_after_ms, .. })
-                    if refusals[request] < max_retries =>
-                {
-                    refusals[request] += 1;
-                    let wait_ms = retry_after_ms.min(spec.time_left_ms / 3);
-                    attempts.insert((now_ms + wait_ms.max(TICK_MS), request));
-                }
-                Decision::Refused(_) | Decision::NoEngine => {
-                    refusals[request] += 1;
-                    refused.insert(request);
-                }
-            }
-        }
-        for engine in 0..engine_count {
-            step_engine(
-                engine,
-                now_ms as f64,
-                &profile,
-                &mut engines,
-                &mut running,
-                |request, is_end| {
-                    let job = job(request as u64);
-                    match &mut placer {
-                        Placer::Scheduler(scheduler) if is_end => {
-                            scheduler.finish(now_ms, job, Outcome::Done);
-                        }
-                        Placer::Scheduler(scheduler) => scheduler.first_event(job),
-                        Placer::Groups(groups) => match groups.coordinator_for(job) {
-                            Some(coordinator) if is_end => {
-                                coordinator.finish(now_ms, job, Outcome::Done);
-                            }
-                            Some(coordinator) => coordinator.first_event(job),
-                            None => {}
-                        },
-                        Placer::RoundRobin(_) => {}
-                    }
-                },
-            );
-        }
-        let finished: Vec<usize> =
-            running.iter().filter(|(_, r)| r.events_left == 0).map(|(id, _)| *id).collect();
-        for request in finished {
-            completed.extend(running.remove(&request).map(|state| (request, state)));
-        }
-        now_ms += TICK_MS;
-    }
-    let result_of = |(request, arrival): (usize, &Arrival)| {
-        let state = completed.get(&request);
-        let is_on_time = state.is_some_and(|state| {
-            let first_ms = state.first_event_ms.unwrap_or(f64::MAX) - arrival.at_ms as f64;
-            first_ms <= arrival.spec.slo_left_ms as f64
-                && state.max_gap_ms <= arrival.spec.max_event_gap_ms as f64
-        });
-        RequestResult {
-            prompt_tokens: arrival.spec.prompt_tokens,
-            is_refused: refused.contains(&request),
-            refusals: refusals[request],
-            is_on_time,
-            is_served: state.is_some(),
-        }
-    };
-    arrivals.iter().enumerate().map(result_of).collect()
-}
-
-/// Runs the steps of an engine up to `now_ms`. Each step prefills at most one chunk and decodes one token of each
-/// decoding request. Calls `on_event` for the first event (`false`) and the end (`true`) of each request.
-fn step_engine(
-    index: usize,
-    now_ms: f64,
-    profile: &EngineProfile,
-    engines: &mut [Engine],
-    running: &mut BTreeMap<usize, RunningRequest>,
-    mut on_event: impl FnMut(usize, bool),
-) {
-    let chunk_ms = profile.prefill_chunk_tokens as f64 / profile.prefill_tokens_per_ms;
-    loop {
-        let engine = &mut engines[index];
-        if engine.free_at_ms > now_ms || (engine.prefills.is_empty() && engine.decoding.is_empty())
-        {
-            return;
-        }
-        let begin_ms = engine.free_at_ms.max(now_ms - TICK_MS as f64);
-        let mut step_ms = 0.0;
-        let mut prefilled = None;
-        if let Some((request, left_ms)) = engine.prefills.first_mut() {
-            let prefill_ms = left_ms.min(chunk_ms);
-            *left_ms -= prefill_ms;
-            step_ms += prefill_ms;
-            if *left_ms <= 0.0 {
-                prefilled = Some(*request);
-                engine.prefills.remove(0);
-            }
-        }
-        if !engine.decoding.is_empty() {
-            let context = engine.decoding.len() as u64 * 6_600;
-            let iteration_ms = profile.iteration_ms(engine.decoding.len(), context);
-            step_ms += iteration_ms / f64::from(profile.steps_per_iteration);
-        }
-        let end_ms = begin_ms + step_ms;
-        engine.free_at_ms = end_ms;
-        for (_, steps) in &mut engine.decoding {
-            *steps -= 1;
-        }
-        let due: Vec<usize> =
-            engine.decoding.iter().filter(|(_, steps)| *steps == 0).map(|(id, _)| *id).collect();
-        for request in due {
-            let Some(state) = running.get_mut(&request) else { continue };
-            let gap_ms = state.last_event_ms.map_or(0.0, |last| end_ms - last);
-            state.max_gap_ms = state.max_gap_ms.max(gap_ms);
-            state.last_event_ms = Some(end_ms);
-            if state.first_event_ms.is_none() {
-                state.first_event_ms = Some(end_ms);
-                on_event(request, false);
-            }
-            state.events_left -= 1;
-            if state.events_left == 0 {
-                engine.decoding.retain(|(id, _)| *id != request);
-                on_event(request, true);
-            }
-        }
-        for (_, steps) in &mut engine.decoding {
-            if *steps == 0 {
-                *steps = profile.steps_per_iteration;
-            }
-        }
-        let Some(state) = prefilled.and_then(|request| running.get_mut(&request)) else { continue };
-        state.parts_left -= 1;
-        if state.parts_left == 0 {
-            let primary = state.engine;
-            engines[primary].decoding.extend(prefilled.map(|id| (id, profile.steps_per_iteration)));
-        }
-    }
-}
-
 /// Random arrivals for `seconds`; `shorts` and `longs` are the mean numbers of short and long prompts per second.
 pub fn mixed_load(seed: u64, seconds: u64, shorts: f64, longs: f64) -> Vec<Arrival> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
