--- a/crates/mulberry-scheduler/src/lib.rs
+++ b/crates/mulberry-scheduler/src/lib.rs
@@ -28,4 +28,4 @@
     ActiveJob, Decision, Helper, JobId, JobSpec, Outcome, Placement, Refusal, RefusalCause,
 };
 pub use scheduler::Scheduler;
-pub use settings::SchedulerSettings;
+pub use settings::{CostFactors, SchedulerSettings};
--- a/crates/mulberry-scheduler/src/plan.rs
+++ b/crates/mulberry-scheduler/src/plan.rs
@@ -5,7 +5,7 @@
 
 use crate::engine_state::{EngineState, ValueByEventGap};
 use crate::tracked_job::TrackedJob;
-use crate::{Helper, JobId, JobSpec};
+use crate::{Helper, JobId, JobSpec, SchedulerSettings};
 
 /// An engine as a candidate for one request.
 #[derive(Debug)]
@@ -40,6 +40,8 @@
 
     /// Price of a millisecond of engine time.
     pub price_per_ms: f64,
+
+    pub settings: &'a SchedulerSettings,
 }
 
 /// A possible placement of a request.
--- a/crates/mulberry-scheduler/src/pool.rs
+++ b/crates/mulberry-scheduler/src/pool.rs
@@ -105,6 +105,7 @@
         settings: &SchedulerSettings,
     ) -> Vec<Candidate<'_>> {
         let profile = &self.profile;
+        let factors = &settings.cost_factors;
         let cold = self.cold;
         let max_requests = (f64::from(profile.slots) * settings.slot_share).max(1.0);
         let max_tokens = (profile.memory_tokens as f64 * settings.memory_share) as u64;
@@ -125,13 +126,17 @@
             };
             let is_at_cold_limit = engine.is_at_cold_limit(now_ms, cold, share, settings);
             let packed = engine.held_with_event_gap(spec.max_event_gap_ms) as f64;
-            let unpacked = UNPACKED_COST * (1.0 - (packed / MAX_PACKED_REQUESTS).min(1.0));
-            let crowding = (engine.held_requests() as f64 / max_requests).powi(3) * UNPACKED_COST;
-            let queued = engine.queued_prefill_parts() as f64 * QUEUED_PART_COST;
+            let unpacked =
+                factors.unpacked * UNPACKED_COST * (1.0 - (packed / MAX_PACKED_REQUESTS).min(1.0));
+            let crowding = (engine.held_requests() as f64 / max_requests).powi(3)
+                * UNPACKED_COST
+                * factors.crowding;
+            let queued =
+                engine.queued_prefill_parts() as f64 * QUEUED_PART_COST * factors.queued_part;
             let cross_zone = if engine.zone == spec.zone {
                 0.0
             } else {
-                CROSS_ZONE_COST * value(spec.prompt_tokens)
+                CROSS_ZONE_COST * value(spec.prompt_tokens) * factors.cross_zone
             };
             let may_decode = (engine.held_requests() as f64) < max_requests && !is_at_cold_limit;
             let backlog_ms = engine.backlog_ms(now_ms);
@@ -151,13 +156,15 @@
 
     /// The cheapest placement with prefill on `size` engines; `None` if there is none.
     pub(crate) fn plan(&self, input: &PlanInput<'_>, size: usize) -> Option<Plan> {
-        let PlanInput { now_ms, spec, candidates, jobs, price_per_ms } = *input;
+        let PlanInput { now_ms, spec, candidates, jobs, price_per_ms, settings } = *input;
+        let factors = &settings.cost_factors;
         let part_ms = self.profile.prefill_ms(spec.prompt_tokens) / size as f64;
         let request_value = value(spec.prompt_tokens);
         let deadlines = deadlines(spec);
         let wait_cost = |end_ms: f64| {
             request_value
                 * WAIT_COST
+                * factors.wait
                 * (end_ms / deadlines.latency_slo_ms.max(1.0)).min(MAX_WAIT_SLOS)
         };
         let own_loss =
@@ -170,11 +177,12 @@
             let stall = candidate.value_by_event_gap.stall_loss(iteration_ms + backlog_ms, part_ms);
             let delay =
                 if is_helper { engine.prefill_delay_loss(now_ms, part_ms, jobs) } else { 0.0 };
-            (end_ms, stall + delay)
+            (end_ms, stall * factors.stall + delay * factors.delay)
         };
         let tokens = spec.prompt_tokens + spec.max_output_tokens;
-        let may_borrow =
-            size > 1 && tokens as f64 > self.profile.memory_tokens as f64 * BORROWING_MIN_FRACTION;
+        let may_borrow = settings.borrows_memory
+            && size > 1
+            && tokens as f64 > self.profile.memory_tokens as f64 * BORROWING_MIN_FRACTION;
         let has_room = |candidate: &&Candidate<'_>| {
             let needed = if may_borrow { spec.max_output_tokens + MIN_HELD_TOKENS } else { tokens };
             candidate.may_decode && candidate.free_tokens >= needed
@@ -186,7 +194,7 @@
                 let (end_ms, interference) = score(candidate, false);
                 let borrowing = tokens.saturating_sub(candidate.free_tokens) as f64 / tokens as f64;
                 let begin_ms = end_ms + candidate.iteration_ms;
-                let cost = own_loss(begin_ms, gap_risk(spec, candidate))
+                let cost = own_loss(begin_ms, gap_risk(spec, candidate, factors.gap_risk))
                     + wait_cost(begin_ms)
                     + interference
                     + candidate.hold_cost
@@ -224,13 +232,15 @@
             _ => 0.0,
         };
         let cost = PlanCost {
-            own_loss: own_loss(first_event_ms, gap_risk(spec, primary)),
+            own_loss: own_loss(first_event_ms, gap_risk(spec, primary, factors.gap_risk)),
             wait: wait_cost(first_event_ms),
             interference: primary_interference + interference,
             borrowing: borrowing * BORROWING_COST,
-            helpers: HELPER_COST * helpers.len() as f64,
-            engine_time: self.profile.prefill_ms(spec.prompt_tokens) * price_per_ms,
-            arrivals,
+            helpers: HELPER_COST * helpers.len() as f64 * factors.helper,
+            engine_time: self.profile.prefill_ms(spec.prompt_tokens)
+                * price_per_ms
+                * factors.engine_time,
+            arrivals: arrivals * factors.arrivals,
             packing: primary.hold_cost,
         };
         let helpers = helpers.iter().zip(lent).map(|(helper, lent_tokens)| Helper {
@@ -288,12 +298,13 @@
 }
 
 /// Risk that the prefill backlog of an engine causes too long event gaps for a request that decodes there.
-fn gap_risk(spec: &JobSpec, candidate: &Candidate<'_>) -> Risk {
+fn gap_risk(spec: &JobSpec, candidate: &Candidate<'_>, factor: f64) -> Risk {
     if spec.max_event_gap_ms == 0 {
         return Risk::NONE;
     }
     let gap_ms = candidate.iteration_ms + candidate.backlog_ms * REMAINING_BACKLOG_FRACTION;
-    Deadlines::of_event_gap(spec.max_event_gap_ms).risk(gap_ms)
+    let Risk { late, abandoned } = Deadlines::of_event_gap(spec.max_event_gap_ms).risk(gap_ms);
+    Risk { late: late * factor, abandoned: abandoned * factor }
 }
 
 /// Tokens of KV cache that each helper lends to a request that does not fit its primary engine; `None` if all of them
--- a/crates/mulberry-scheduler/src/scheduler.rs
+++ b/crates/mulberry-scheduler/src/scheduler.rs
@@ -104,9 +104,9 @@
             return self.no_capacity(now_ms, spec);
         };
         let refusal_cost = value(spec.prompt_tokens) * REFUSAL_COST;
-        let cause = if plan.first_event_ms > max_wait_ms(spec) {
+        let cause = if self.settings.refuses_late && plan.first_event_ms > max_wait_ms(spec) {
             Some(RefusalCause::TooLate)
-        } else if plan.cost.without_packing() > refusal_cost {
+        } else if self.settings.refuses_costly && plan.cost.without_packing() > refusal_cost {
             Some(RefusalCause::TooCostly)
         } else {
             None
@@ -303,7 +303,8 @@
             spec,
             candidates: &candidates,
             jobs: &self.jobs,
-            price_per_ms: pool.price.per_ms(pool.engines.len()) * settings.engine_time_price,
+            price_per_ms: pool.price.per_ms(pool.engines.len()),
+            settings: &settings,
         };
         let mut best: Option<Plan> = None;
         for size in PREFILL_GROUP_SIZES {
--- a/crates/mulberry-scheduler/src/settings.rs
+++ b/crates/mulberry-scheduler/src/settings.rs
@@ -15,8 +15,17 @@
     /// helper takes longer than the helper saves.
     pub min_prefill_part_ms: f64,
 
-    /// Factor on the price of engine time; 0 if engine time is free.
-    pub engine_time_price: f64,
+    /// Factors on the terms of a placement's cost.
+    pub cost_factors: CostFactors,
+
+    /// Whether requests are refused if they would cost others more than they are worth.
+    pub refuses_costly: bool,
+
+    /// Whether requests are refused if their callers would give up before the first event.
+    pub refuses_late: bool,
+
+    /// Whether a request may borrow memory from several engines.
+    pub borrows_memory: bool,
 
     /// Requests placed on one engine at a time, as a fraction of its slots; the rest is reserved for requests already
     /// in transit.
@@ -53,13 +62,71 @@
     pub max_retry_after_ms: u64,
 }
 
+/// Factors on the terms of a placement's cost. A factor of 0 ignores the term; meant for measuring what each is worth.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CostFactors {
+    /// Each helper engine.
+    pub helper: f64,
+
+    /// An engine without similar requests.
+    pub unpacked: f64,
+
+    /// An engine with many requests.
+    pub crowding: f64,
+
+    /// Each prompt part queued at the engine.
+    pub queued_part: f64,
+
+    /// An engine in another zone.
+    pub cross_zone: f64,
+
+    /// Wait until the first event.
+    pub wait: f64,
+
+    /// Risk of long event gaps because of the engine's backlog.
+    pub gap_risk: f64,
+
+    /// Stall of requests that decode on the engine.
+    pub stall: f64,
+
+    /// Delay of prompts that the engine prefills.
+    pub delay: f64,
+
+    /// Expected arrivals that would find no free engine.
+    pub arrivals: f64,
+
+    /// Price of engine time.
+    pub engine_time: f64,
+}
+
+impl Default for CostFactors {
+    fn default() -> CostFactors {
+        CostFactors {
+            helper: 1.0,
+            unpacked: 1.0,
+            crowding: 1.0,
+            queued_part: 1.0,
+            cross_zone: 1.0,
+            wait: 1.0,
+            gap_risk: 1.0,
+            stall: 1.0,
+            delay: 1.0,
+            arrivals: 1.0,
+            engine_time: 1.0,
+        }
+    }
+}
+
 impl Default for SchedulerSettings {
     fn default() -> SchedulerSettings {
         SchedulerSettings {
             policy: PlacementPolicy::default(),
             max_helpers: 16,
             min_prefill_part_ms: 20.0,
-            engine_time_price: 1.0,
+            cost_factors: CostFactors::default(),
+            refuses_costly: true,
+            refuses_late: true,
+            borrows_memory: true,
             slot_share: 1.0,
             memory_share: 0.95,
             cold_share: 0.8,
--- a/crates/mulberry-scheduler/tests/price.rs
+++ b/crates/mulberry-scheduler/tests/price.rs
@@ -5,7 +5,9 @@
 use common::scenario::{Delivered, Phase, RequestKind, Scenario};
 use common::simulation::simulate_with_retries;
 use common::{Placer, job, scheduler, spec};
-use mulberry_scheduler::{Decision, JobSpec, Outcome, RefusalCause, Scheduler, SchedulerSettings};
+use mulberry_scheduler::{
+    CostFactors, Decision, JobSpec, Outcome, RefusalCause, Scheduler, SchedulerSettings,
+};
 
 fn kind(rate_per_s: f64, mean_prompt_tokens: f64, slo_ms: u64, gap_ms: u64) -> RequestKind {
     RequestKind {
@@ -52,8 +54,9 @@
 /// them late.
 #[test]
 fn callers_get_more_of_an_overload_with_the_price() {
-    let mean = |engine_time_price: f64| {
-        let settings = || SchedulerSettings { engine_time_price, ..SchedulerSettings::default() };
+    let mean = |engine_time: f64| {
+        let cost_factors = CostFactors { engine_time, ..CostFactors::default() };
+        let settings = || SchedulerSettings { cost_factors, ..SchedulerSettings::default() };
         let plays = (1..=6).map(|seed| play(&overload(), seed, settings()));
         plays.map(|delivered| (delivered.total, delivered.by_kind[0])).fold(
             (0.0, 0.0),
