--- a/crates/mulberry-scheduler/src/engine_time_price.rs
+++ b/crates/mulberry-scheduler/src/engine_time_price.rs
@@ -2,7 +2,7 @@
 //!
 //! Answers the load of a burst of long prompts, or of usual load on fewer engines: when recent requests need more engine
 //! time than there is within their latency objectives, those with the highest value per engine time should be served and
-//! the others refused at once. The price is the value per engine time of the last request that still fits. A request
+//! the others refused at once. The price is the value per engine time of the first request that no longer fits. A request
 //! pays it for its own prefill, so it is refused if its time is worth more to others. In the literature this is the bid
 //! price, or dual price, of the capacity. While the time suffices for all requests, the price is 0.
 
@@ -14,10 +14,22 @@
 /// streams with short event gaps.
 const USABLE_FRACTION: f64 = 0.8;
 
+/// Time for which a computed price is used, since sorting the arrivals of a large fleet takes longer than a placement.
+const PRICE_VALID_MS: u64 = 50;
+
 /// Recent arrivals at the engines of one service.
 #[derive(Debug, Default)]
 pub(crate) struct EngineTimePrice {
     arrivals: Vec<RecentArrival>,
+    last: Option<ComputedPrice>,
+}
+
+/// A price and what it was computed for.
+#[derive(Debug, Clone, Copy)]
+struct ComputedPrice {
+    at_ms: u64,
+    engines: usize,
+    per_ms: f64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -52,7 +64,20 @@
     }
 
     /// Price of a millisecond of one engine's time while `engines` engines are usable.
-    pub(crate) fn per_ms(&self, engines: usize) -> f64 {
+    pub(crate) fn per_ms(&mut self, now_ms: u64, engines: usize) -> f64 {
+        let valid = self.last.filter(|last| {
+            last.engines == engines && now_ms.saturating_sub(last.at_ms) < PRICE_VALID_MS
+        });
+        if let Some(last) = valid {
+            return last.per_ms;
+        }
+        let per_ms = self.marginal_value_per_ms(engines);
+        self.last = Some(ComputedPrice { at_ms: now_ms, engines, per_ms });
+        per_ms
+    }
+
+    /// Value per engine time of the first arrival that does not fit, when those with the highest come first.
+    fn marginal_value_per_ms(&self, engines: usize) -> f64 {
         let mut left = engines as f64 * USABLE_FRACTION;
         let needed: f64 = self.arrivals.iter().map(|arrival| arrival.engines).sum();
         if needed <= left {
--- a/crates/mulberry-scheduler/src/scheduler.rs
+++ b/crates/mulberry-scheduler/src/scheduler.rs
@@ -289,6 +289,7 @@
         pool.demand.record_arrival(now_ms, spec.max_event_gap_ms, request_value);
         let engine_ms = pool.profile.prefill_ms(spec.prompt_tokens) + pool.mean_decode_share_ms();
         pool.price.record_arrival(now_ms, spec.slo_left_ms, engine_ms, request_value);
+        let price_per_ms = pool.price.per_ms(now_ms, pool.engines.len());
         if settings.policy != PlacementPolicy::ExpectedCost {
             pool.baseline.begin_placement(now_ms, &pool.engines);
         }
@@ -303,7 +304,7 @@
             spec,
             candidates: &candidates,
             jobs: &self.jobs,
-            price_per_ms: pool.price.per_ms(pool.engines.len()),
+            price_per_ms,
             settings: &settings,
         };
         let mut best: Option<Plan> = None;
