--- a/crates/mulberry-scheduler/examples/ablation.rs
+++ b/crates/mulberry-scheduler/examples/ablation.rs
@@ -9,10 +9,8 @@
 
 use std::path::Path;
 
-use common::Placer;
 use common::scenario::Scenario;
-use common::simulation::simulate_with_retries;
-use mulberry_scheduler::{CostFactors, PlacementPolicy, Scheduler, SchedulerSettings};
+use mulberry_scheduler::{CostFactors, PlacementPolicy, SchedulerSettings};
 
 /// Number of drawn fleets if none is given.
 const DEFAULT_FLEETS: u64 = 100;
@@ -20,9 +18,6 @@
 /// Number of loads of each scenario file.
 const LOADS: u64 = 8;
 
-/// Maximum number of retries after a refusal.
-const MAX_RETRIES: u32 = 1;
-
 /// Loss of value above which a drawn fleet counts as worse.
 const WORSE_BY: f64 = 0.01;
 
@@ -60,17 +55,6 @@
     ]
 }
 
-/// Fraction of the value that callers get.
-fn delivered(scenario: &Scenario, seed: u64, settings: &SchedulerSettings) -> f64 {
-    let load = scenario.load(seed);
-    let fleet = scenario.fleet();
-    let mut scheduler = Scheduler::new(settings.clone());
-    scheduler.set_engines(0, &"pool".into(), &fleet.profile, None, &fleet.engines);
-    let placer = Placer::Scheduler(Box::new(scheduler));
-    let results = simulate_with_retries(&fleet, &load, placer, MAX_RETRIES);
-    scenario.delivered(&load, &results).total
-}
-
 /// Loss of value without a mechanism in each play.
 fn losses(plays: &[(Scenario, u64)], full: &[f64], settings: &SchedulerSettings) -> Vec<f64> {
     let mut losses = vec![0.0; plays.len()];
@@ -82,7 +66,7 @@
         {
             scope.spawn(move || {
                 for (((scenario, seed), full), loss) in plays.iter().zip(full).zip(losses) {
-                    *loss = full - delivered(scenario, *seed, settings);
+                    *loss = full - scenario.play(*seed, settings.clone()).total;
                 }
             });
         }
--- a/crates/mulberry-scheduler/examples/heavy_day.rs
+++ b/crates/mulberry-scheduler/examples/heavy_day.rs
@@ -10,26 +10,11 @@
 
 use std::path::{Path, PathBuf};
 
-use common::Placer;
-use common::scenario::{Delivered, Scenario};
-use common::simulation::simulate_with_retries;
-use mulberry_scheduler::{PlacementPolicy, Scheduler, SchedulerSettings};
+use common::scenario::Scenario;
+use mulberry_scheduler::{PlacementPolicy, SchedulerSettings};
 
 const SEEDS: std::ops::Range<u64> = 1..9;
 
-/// Maximum number of retries after a refusal.
-const MAX_RETRIES: u32 = 1;
-
-fn play(scenario: &Scenario, seed: u64, settings: SchedulerSettings) -> Delivered {
-    let load = scenario.load(seed);
-    let fleet = scenario.fleet();
-    let mut scheduler = Scheduler::new(settings);
-    scheduler.set_engines(0, &"pool".into(), &fleet.profile, None, &fleet.engines);
-    let placer = Placer::Scheduler(Box::new(scheduler));
-    let results = simulate_with_retries(&fleet, &load, placer, MAX_RETRIES);
-    scenario.delivered(&load, &results)
-}
-
 fn scenario_files() -> Vec<PathBuf> {
     let given: Vec<PathBuf> = std::env::args().skip(1).map(PathBuf::from).collect();
     if !given.is_empty() {
@@ -58,7 +43,7 @@
             let mut means = [0.0; 8];
             for seed in SEEDS {
                 let settings = SchedulerSettings { policy, ..SchedulerSettings::default() };
-                let got = play(&scenario, seed, settings);
+                let got = scenario.play(seed, settings);
                 let bound = scenario.bound(&scenario.load(seed));
                 let [short, medium, long] = got.by_kind[..] else { panic!("three kinds") };
                 let figures = [
--- a/crates/mulberry-scheduler/tests/common/scenario.rs
+++ b/crates/mulberry-scheduler/tests/common/scenario.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use mulberry_routes::EngineProfile;
-use mulberry_scheduler::{EngineInfo, JobSpec};
+use mulberry_scheduler::{EngineInfo, JobSpec, Scheduler, SchedulerSettings};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 
-use super::simulation::{Fleet, RequestResult};
-use super::{Arrival, spec};
+use super::simulation::{Fleet, RequestResult, simulate_with_retries};
+use super::{Arrival, Placer, spec};
 
 /// Fraction of its value that a late response keeps.
 const LATE_VALUE_FRACTION: f64 = 0.25;
@@ -17,6 +17,9 @@
 /// Length of the windows whose worst two are averaged.
 const WINDOW_MS: u64 = 2_000;
 
+/// Maximum number of retries after a refusal.
+const MAX_RETRIES: u32 = 1;
+
 /// A load scenario, as read from a file.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Scenario {
@@ -237,6 +240,17 @@
         arrivals
     }
 
+    /// Plays a random load with a new scheduler and returns what callers got, who retry once after a refusal.
+    pub fn play(&self, seed: u64, settings: SchedulerSettings) -> Delivered {
+        let load = self.load(seed);
+        let fleet = self.fleet();
+        let mut scheduler = Scheduler::new(settings);
+        scheduler.set_engines(0, &"pool".into(), &fleet.profile, None, &fleet.engines);
+        let placer = Placer::Scheduler(Box::new(scheduler));
+        let results = simulate_with_retries(&fleet, &load, placer, MAX_RETRIES);
+        self.delivered(&load, &results)
+    }
+
     fn kind_of(&self, arrival: &Arrival) -> usize {
         let gap_ms = arrival.spec.max_event_gap_ms;
         self.kinds.iter().position(|kind| kind.max_event_gap_ms == gap_ms).unwrap_or(0)
--- a/crates/mulberry-scheduler/tests/price.rs
+++ b/crates/mulberry-scheduler/tests/price.rs
@@ -2,11 +2,10 @@
 
 mod common;
 
-use common::scenario::{Delivered, Phase, RequestKind, Scenario};
-use common::simulation::simulate_with_retries;
-use common::{Placer, job, scheduler, spec};
+use common::scenario::{Phase, RequestKind, Scenario};
+use common::{job, scheduler, spec};
 use mulberry_scheduler::{
-    CostFactors, Decision, JobSpec, Outcome, RefusalCause, Scheduler, SchedulerSettings,
+    CostFactors, Decision, JobSpec, Outcome, RefusalCause, SchedulerSettings,
 };
 
 fn kind(rate_per_s: f64, mean_prompt_tokens: f64, slo_ms: u64, gap_ms: u64) -> RequestKind {
@@ -40,16 +39,6 @@
     }
 }
 
-fn play(scenario: &Scenario, seed: u64, settings: SchedulerSettings) -> Delivered {
-    let load = scenario.load(seed);
-    let fleet = scenario.fleet();
-    let mut scheduler = Scheduler::new(settings);
-    scheduler.set_engines(0, &"pool".into(), &fleet.profile, None, &fleet.engines);
-    let placer = Placer::Scheduler(Box::new(scheduler));
-    let results = simulate_with_retries(&fleet, &load, placer, 1);
-    scenario.delivered(&load, &results)
-}
-
 /// The engine time goes to the requests that are worth most for it, and the others are refused instead of making all of
 /// them late.
 #[test]
@@ -57,7 +46,7 @@
     let mean = |engine_time: f64| {
         let cost_factors = CostFactors { engine_time, ..CostFactors::default() };
         let settings = || SchedulerSettings { cost_factors, ..SchedulerSettings::default() };
-        let plays = (1..=6).map(|seed| play(&overload(), seed, settings()));
+        let plays = (1..=6).map(|seed| overload().play(seed, settings()));
         plays.map(|delivered| (delivered.total, delivered.by_kind[0])).fold(
             (0.0, 0.0),
             |(total, shorts), (play_total, play_shorts)| {
