--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -20,6 +20,7 @@
         "evacuation" => evacuation(record, trouble),
         "goodbye" => goodbye(record, trouble),
         "voters" => voters(record, trouble),
+        "farewell" => farewell(record, trouble),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -273,3 +274,75 @@
     ));
     Ok(version.is_none_or(|version| version < expected))
 }
+
+/// All processes are killed right after a goodbye was acknowledged; the engine is in use again after the restart.
+fn farewell(record: Record, trouble: bool) -> Result<bool, String> {
+    const DRAIN_S: f64 = 2.0;
+    const CONTACT_S: f64 = 3.0;
+    const DOWN_S: f64 = 1.0;
+    const SERVES_AFTER_S: f64 = 10.0;
+    let mut fleet = Fleet::new(record.clone(), 5, 6)?;
+    fleet.start_all()?;
+    fleet.insist("operator", &[0, 1, 2], "PUT", "/-/config", &configuration(7))?;
+    let stop = Arc::new(AtomicBool::new(false));
+    for (number, zone) in ZONES.into_iter().enumerate().skip(1) {
+        let id = format!("i-{zone}");
+        let engine = Engine::start(&record, &id, fleet.engine_address(number), zone, SERVICE)?;
+        beat_by_turns(Arc::new(engine), fleet.controls(), stop.clone());
+    }
+    let id = "i-leaving";
+    let leaving = Arc::new(Engine::start(&record, id, fleet.engine_address(0), ZONES[0], SERVICE)?);
+    let beats = beat_by_turns(leaving.clone(), fleet.controls(), stop.clone());
+    fleet.wait_ready()?;
+    sleep_s(4.0);
+    let frontends: Vec<SocketAddr> = (0..fleet.fronts).map(|front| fleet.frontend(front)).collect();
+    let clients = send_by_turns(record.clone(), frontends, Duration::from_millis(5), stop.clone());
+    sleep_s(3.0);
+
+    // The engine leaves: it says goodbye first, serves on, and exits.
+    leaving.stop_beats();
+    let _ = beats.join();
+    let path = format!("/-/instances/{id}");
+    let left_at = fleet.insist(&format!("engine {id}"), &[3], "DELETE", &path, "")?;
+    let machines: Vec<Machine> =
+        (0..fleet.cores).map(Machine::Core).chain((0..fleet.fronts).map(Machine::Front)).collect();
+    let mut back_at = left_at;
+    if trouble {
+        for machine in &machines {
+            fleet.signal(*machine, "-KILL")?;
+        }
+        let killed_at = record.now();
+        for machine in &machines {
+            fleet.kill(*machine);
+        }
+        sleep_s(killed_at + DOWN_S - record.now());
+        for machine in &machines {
+            fleet.start(*machine)?;
+        }
+        back_at = record.now();
+    }
+    sleep_s(left_at + SERVES_AFTER_S - record.now());
+    let ended_at = record.now();
+    leaving.end();
+    stop.store(true, Ordering::SeqCst);
+    let _ = clients.join();
+    fleet.note_ends();
+
+    let runs = leaving.runs();
+    let before = runs.iter().filter(|run| run.at < left_at).count();
+    let count_from = |from: f64| runs.iter().filter(|run| run.at > from).count();
+    if before == 0 {
+        return Err("the engine got no request before it left".into());
+    }
+    // After a fault that took most of the core, machines are in touch after twice contactMs.
+    let judged_from = (left_at + DRAIN_S).max(back_at + 2.0 * CONTACT_S);
+    let late = count_from(judged_from);
+    record.note(&format!(
+        "result: the goodbye was acknowledged at {left_at:.3}; all machines were back at {back_at:.3}; the engine ended at \
+         {ended_at:.3}; it ran {before} requests before the goodbye, {} later than drainMs after it, {} from contactMs \
+         after the restart on, and {late} from {judged_from:.3} on",
+        count_from(left_at + DRAIN_S),
+        count_from((left_at + DRAIN_S).max(back_at + CONTACT_S)),
+    ));
+    Ok(late > 0)
+}
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -1,5 +1,6 @@
 //! An engine of a plain service, and clients.
 
+use std::collections::HashMap;
 use std::io::Write as _;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -28,7 +29,7 @@
     pub born: u64,
     record: Record,
     runs: Arc<Mutex<Vec<Run>>>,
-    connections: Arc<Mutex<Vec<TcpStream>>>,
+    connections: Arc<Mutex<HashMap<u64, TcpStream>>>,
     has_ended: Arc<AtomicBool>,
     is_silent: AtomicBool,
     sequence: Arc<AtomicU64>,
@@ -57,6 +58,7 @@
         let (runs, connections, has_ended) =
             (engine.runs.clone(), engine.connections.clone(), engine.has_ended.clone());
         thread::spawn(move || {
+            let mut number = 0;
             while !has_ended.load(Ordering::SeqCst) {
                 let Ok((stream, _)) = listener.accept() else {
                     thread::sleep(Duration::from_millis(2));
@@ -64,11 +66,16 @@
                 };
                 let _ = stream.set_nonblocking(false);
                 let _ = stream.set_nodelay(true);
+                number += 1;
                 if let Ok(clone) = stream.try_clone() {
-                    connections.lock().expect("no holder panics").push(clone);
+                    connections.lock().expect("no holder panics").insert(number, clone);
                 }
+                let connections = connections.clone();
                 let (id, record, runs) = (id.clone(), record.clone(), runs.clone());
-                thread::spawn(move || serve(stream, &id, &record, &runs));
+                thread::spawn(move || {
+                    serve(stream, &id, &record, &runs);
+                    connections.lock().expect("no holder panics").remove(&number);
+                });
             }
         });
         Ok(engine)
@@ -83,7 +90,7 @@
     pub fn end(&self) {
         self.has_ended.store(true, Ordering::SeqCst);
         thread::sleep(Duration::from_millis(10));
-        for stream in self.connections.lock().expect("no holder panics").drain(..) {
+        for (_, stream) in self.connections.lock().expect("no holder panics").drain() {
             let _ = stream.shutdown(Shutdown::Both);
         }
         self.record.note(&format!("engine {} (born {}): ended", self.id, self.born));
