--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -59,6 +59,10 @@
     pub record: Record,
     folder: PathBuf,
     network: u8,
+
+    /// Keeps other fleets off the network.
+    _claim: TcpListener,
+
     pub cores: usize,
     pub fronts: usize,
     processes: BTreeMap<Machine, Child>,
@@ -78,10 +82,12 @@
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let first = 20 + (std::process::id() % 200) as u8;
         let mut networks = (0..200_u8).map(|step| 20 + (first - 20 + step) % 200);
-        let network = networks
-            .find(|network| {
+        let (network, claim) = networks
+            .find_map(|network| {
                 let ports = [CONTROL_PORT, FRONTEND_PORT, READINESS_PORT, FIRST_INTERNAL_PORT, METRICS_PORT];
-                ports.iter().all(|port| TcpListener::bind(format!("127.{network}.1.1:{port}")).is_ok())
+                let are_free = ports.iter().all(|port| TcpListener::bind(format!("127.{network}.1.1:{port}")).is_ok());
+                let claim = TcpListener::bind(format!("127.{network}.9.9:{CONTROL_PORT}")).ok()?;
+                are_free.then_some((network, claim))
             })
             .ok_or("no loopback network with free ports")?;
         record.note(&format!("network 127.{network}.0.0, {cores} core, {fronts} front"));
@@ -90,6 +96,7 @@
             record,
             folder,
             network,
+            _claim: claim,
             cores,
             fronts,
             processes,
