--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -110,6 +110,10 @@
     hello_due_ms: u64,
     gossip_due_ms: u64,
     membership_due_ms: u64,
+
+    /// When this registry became the leader; `None` if it is not.
+    leader_since_ms: Option<u64>,
+
     is_stopping: bool,
 }
 
@@ -158,6 +162,7 @@
             hello_due_ms: 0,
             gossip_due_ms: 0,
             membership_due_ms: 0,
+            leader_since_ms: None,
             is_stopping: false,
         }
     }
--- a/crates/mulberry-registry/src/node/group.rs
+++ b/crates/mulberry-registry/src/node/group.rs
@@ -59,22 +59,28 @@
 
     /// On the leader, proposes membership changes and updates of member addresses.
     pub(super) fn manage_membership(&mut self, now_ms: u64) {
-        if now_ms < self.membership_due_ms || !self.is_leader() {
+        if !self.is_leader() {
+            self.leader_since_ms = None;
+            return;
+        }
+        self.leader_since_ms.get_or_insert(now_ms);
+        if now_ms < self.membership_due_ms {
             return;
         }
         self.membership_due_ms = now_ms + MEMBERSHIP_CHECK_INTERVAL_MS;
         let views = self.member_views(now_ms);
-        let desired_voters = self.settings.desired_voters;
+        let max_voters = self.settings.max_voters;
         let Some(replica) = &mut self.replica else { return };
         if replica.raft.members_committed() {
             let members = replica.raft.members().clone();
             let own = replica.raft.id();
-            if let Some(plan) = plan_membership(own, &members, &views, desired_voters) {
+            if let Some(plan) = plan_membership(own, &members, &views, max_voters) {
                 match replica.raft.propose_members(plan.members.clone()) {
                     Ok(_) => tracing::info!(
                         event = "members_changed",
                         reason = plan.reason,
                         voters = plan.members.voters.len(),
+                        voter_ids = ?plan.members.voters,
                         learners = plan.members.learners.len()
                     ),
                     Err(error) => tracing::debug!(event = "members_not_changed", %error),
@@ -104,7 +110,9 @@
             let mut hellos = self.hellos.values();
             let hello = hellos.find(|(hello, _)| hello.member == progress.member.0);
             let last_hello_ms = hello.map(|(_, received_ms)| *received_ms);
-            let silent_ms = silence_ms(now_ms, progress.last_reply_ms, last_hello_ms);
+            // A new leader has not heard from any member yet.
+            let last_reply_ms = progress.last_reply_ms.or(self.leader_since_ms);
+            let silent_ms = silence_ms(now_ms, last_reply_ms, last_hello_ms);
             let is_displaced =
                 replica.state.addresses.get(&progress.member.0).is_some_and(|address| {
                     self.hellos
--- a/crates/mulberry-registry/src/settings.rs
+++ b/crates/mulberry-registry/src/settings.rs
@@ -27,8 +27,9 @@
     /// Whether this is the first start of the system: the seeds then form the initial group.
     pub bootstrap: bool,
 
-    /// Number of voters to which the group grows if there are enough registries.
-    pub desired_voters: usize,
+    /// Maximum number of voters. With fewer voters than registries, a majority of the voters may be a minority of the
+    /// registries, which acknowledges changes that the others do not know while it is cut off from them.
+    pub max_voters: usize,
 
     pub data_folder: PathBuf,
 
@@ -51,7 +52,7 @@
             metrics_address: None,
             seeds: Vec::new(),
             bootstrap: false,
-            desired_voters: 3,
+            max_voters: usize::MAX,
             data_folder: PathBuf::new(),
             announce_interval_ms: 1_000,
             stop_timeout_ms: 8_000,
--- a/crates/mulberry-registry/tests/group.rs
+++ b/crates/mulberry-registry/tests/group.rs
@@ -99,12 +99,18 @@
 
     /// Last bytes of the addresses of the seeds.
     seeds: Vec<u8>,
+
+    max_voters: usize,
     running: HashMap<u8, RunningRegistry>,
 }
 
 impl Group {
     /// Starts a new group; `seeds` holds the last bytes of the members' addresses.
     fn form(name: &str, network: u8, seeds: &[u8]) -> Group {
+        Group::form_with(name, network, seeds, usize::MAX)
+    }
+
+    fn form_with(name: &str, network: u8, seeds: &[u8], max_voters: usize) -> Group {
         let folder = std::env::temp_dir().join(format!("mulberry-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         let first = SocketAddr::from(([127, 0, network, seeds[0]], 0));
@@ -117,6 +123,7 @@
             public_port,
             network,
             seeds: seeds.to_vec(),
+            max_voters,
             running: HashMap::new(),
         };
         for seed in seeds {
@@ -138,6 +145,7 @@
             link_address: link(member),
             seeds: self.seeds.iter().map(|last| link(*last)).collect(),
             bootstrap,
+            max_voters: self.max_voters,
             data_folder: self.folder.join(member.to_string()),
             ..RegistrySettings::default()
         };
@@ -250,7 +258,7 @@
 /// changed to members that are no voters.
 #[test]
 fn voters_find_each_other_after_a_restart_with_seeds_that_are_no_voters() {
-    let mut group = Group::form("turnover", 80, &[1, 2, 3]);
+    let mut group = Group::form_with("turnover", 80, &[1, 2, 3], 3);
     group.request_until_ok(1, "PUT", "/config", "1 a");
     for learner in [4, 5, 6] {
         group.start(learner, false);
@@ -266,6 +274,58 @@
     assert_eq!(group.request_until_ok(2, "GET", "/config", ""), "1 a");
 }
 
+/// Starts registries 4 and 5 beside the seeds 1 to 3, and waits until they have caught up.
+fn join_two_more(group: &mut Group) {
+    for member in [4, 5] {
+        group.start(member, false);
+        group.request_until_ok(member, "GET", "/config", "");
+    }
+    std::thread::sleep(Duration::from_secs(2));
+}
+
+/// Stops registries 3 to 5, and checks that the two others acknowledge nothing.
+fn assert_minority_accepts_nothing(group: &mut Group) {
+    for member in [3, 4, 5] {
+        group.stop(member);
+    }
+    for member in [1, 2, 1, 2] {
+        let status = group.request(member, "PUT", "/config", "9 minority").map(|r| r.0);
+        assert_eq!(status, Some(503), "member {member}");
+        let status = group.request(member, "GET", "/config", "").map(|r| r.0);
+        assert_eq!(status, Some(503), "member {member}");
+    }
+}
+
+/// Guards against configurations that a cut-off minority of the registries acknowledges and the others do not obey.
+#[test]
+fn two_of_five_registries_acknowledge_no_configuration() {
+    let mut group = Group::form("quorum", 82, &[1, 2, 3]);
+    group.request_until_ok(1, "PUT", "/config", "1 a");
+    join_two_more(&mut group);
+    assert_minority_accepts_nothing(&mut group);
+    group.start(4, false);
+    group.request_until_ok(4, "PUT", "/config", "10 majority");
+    assert_eq!(group.request_until_ok(1, "GET", "/config", ""), "10 majority");
+}
+
+/// Guards against the same after an upgrade: older versions kept three voters, whatever the number of registries.
+#[test]
+fn a_group_with_fewer_voters_than_registries_grows_after_an_upgrade() {
+    let mut group = Group::form_with("upgrade", 83, &[1, 2, 3], 3);
+    group.request_until_ok(1, "PUT", "/config", "1 a");
+    join_two_more(&mut group);
+    for member in 1..=5 {
+        group.stop(member);
+    }
+    group.max_voters = usize::MAX;
+    for member in 1..=5 {
+        group.start(member, false);
+    }
+    group.request_until_ok(1, "PUT", "/config", "2 b");
+    std::thread::sleep(Duration::from_secs(3));
+    assert_minority_accepts_nothing(&mut group);
+}
+
 #[test]
 fn a_member_with_a_lost_disk_rejoins_as_a_voter() {
     let mut group = Group::form("disk", 74, &[1, 2, 3]);
