Acknowledge a departure of a target after a majority of the registries has it on disk

Cause: a departure was acknowledged when it was in memory only. The notes of all registries, written 250 ms later, still held the engine as ready, and gateways use what most registries have restored. The same held for an engine that reports that it is draining. Ruled out: a registry that had missed the departure (all five had published it), and announcements after the restart (there were none).

Change: the registry that gets a departure asks all registries to append it to a small log on disk, and acknowledges it when a majority of the voters has synced it; gateways and registries are told at once, as before. The log is read at the start and cleared when the notes contain what it holds, after a sync of the folder. Registries of older versions are not asked; their notes and hellos are read as before.

Before the change: an_acknowledged_departure_is_on_the_disks_of_a_majority found the engine restored as ready at all three registries, and a_departure_is_not_acknowledged_without_a_majority got 200.

--- a/crates/mulberry-registry/src/disk_thread.rs
+++ b/crates/mulberry-registry/src/disk_thread.rs
@@ -8,9 +8,13 @@
 
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use mulberry_consensus::{DurableState, MemberId, Snapshot, Writes};
+use mulberry_directory::TargetRecord;
 use mulberry_log::{DataFolder, LogError, LogSettings};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
+use crate::departure_log::DepartureLog;
+use crate::node::DepartureRequester;
+
 /// Size at which a new log segment is started. Small, because a restart reads all segments.
 const SEGMENT_BYTES: u64 = 2 << 20;
 
@@ -31,6 +35,12 @@
 
     /// Saves state that speeds up a restart; it may be lost.
     SaveWarmStart(Vec<u8>),
+
+    /// Stores that a target drains or has left, until the next warm-start state is saved, which must contain it.
+    StoreDeparture {
+        requester: DepartureRequester,
+        record: TargetRecord,
+    },
 }
 
 /// Results from the disk thread.
@@ -40,12 +50,17 @@
         member: MemberId,
         durable: DurableState,
         warm_start: Vec<u8>,
+        departures: Vec<TargetRecord>,
     },
     Written {
         writes: Writes,
         took_s: f64,
     },
     Saved(Snapshot),
+    DepartureStored {
+        requester: DepartureRequester,
+        record: TargetRecord,
+    },
 
     /// None of the pending jobs count as written; the folder must be opened again.
     Failed(LogError),
@@ -84,17 +99,41 @@
     })
 }
 
-/// Replaces the warm-start file. The folder is not synced, since an older file is also usable after a crash.
-fn write_warm_start(folder: &Path, bytes: &[u8]) -> io::Result<()> {
+/// Replaces the warm-start file, and clears the log of departures, which the file contains. An older file is also usable
+/// after a crash, unless it precedes a departure: only then the folder is synced.
+fn write_warm_start(
+    folder: &Path,
+    bytes: &[u8],
+    departures: Option<&mut DepartureLog>,
+) -> io::Result<()> {
     let temp_path = folder.join(WARM_START_TEMP_FILE);
     let mut file = File::create(&temp_path)?;
     file.write_all(bytes)?;
     file.sync_data()?;
-    fs::rename(temp_path, folder.join(WARM_START_FILE))
+    fs::rename(temp_path, folder.join(WARM_START_FILE))?;
+    match departures.filter(|log| !log.is_empty()) {
+        Some(log) => {
+            File::open(folder)?.sync_all()?;
+            log.clear()
+        }
+        None => Ok(()),
+    }
+}
+
+/// Opens the log of departures. Without it, departures are not stored, and not acknowledged.
+fn open_departures(folder: &Path) -> (Option<DepartureLog>, Vec<TargetRecord>) {
+    match DepartureLog::open(folder) {
+        Ok((log, records)) => (Some(log), records),
+        Err(error) => {
+            tracing::warn!(event = "departures_not_opened", %error);
+            (None, Vec::new())
+        }
+    }
 }
 
 fn run(path: &Path, jobs: &Receiver<DiskJob>, events: &UnboundedSender<DiskEvent>) {
     let mut folder: Option<DataFolder> = None;
+    let mut departure_log: Option<DepartureLog> = None;
     while let Ok(job) = jobs.recv() {
         let event = match (job, &mut folder) {
             (DiskJob::Open, _) => {
@@ -105,7 +144,14 @@
                 DataFolder::open(path, settings).map(|(opened, durable)| {
                     let member = opened.member_id();
                     folder = Some(opened);
-                    DiskEvent::Opened { member, durable, warm_start: read_warm_start(path) }
+                    let departures;
+                    (departure_log, departures) = open_departures(path);
+                    DiskEvent::Opened {
+                        member,
+                        durable,
+                        warm_start: read_warm_start(path),
+                        departures,
+                    }
                 })
             }
             (DiskJob::Write(writes), Some(folder)) => {
@@ -119,13 +165,30 @@
                 folder.save_snapshot(&snapshot).map(|()| DiskEvent::Saved(snapshot))
             }
             (DiskJob::SaveWarmStart(bytes), Some(_)) => {
-                if let Err(error) = write_warm_start(path, &bytes) {
+                if let Err(error) = write_warm_start(path, &bytes, departure_log.as_mut()) {
                     tracing::warn!(event = "notes_not_written", %error);
                 }
                 continue;
             }
+            (DiskJob::StoreDeparture { requester, record }, Some(_)) => {
+                let stored = departure_log.as_mut().map(|log| log.append(&record));
+                match stored {
+                    Some(Ok(())) => Ok(DiskEvent::DepartureStored { requester, record }),
+                    Some(Err(error)) => {
+                        tracing::warn!(event = "departure_not_stored", %error);
+                        continue;
+                    }
+                    None => continue,
+                }
+            }
             // Jobs queued before the failure are discarded.
-            (DiskJob::Write(_) | DiskJob::Save(_) | DiskJob::SaveWarmStart(_), None) => continue,
+            (
+                DiskJob::Write(_)
+                | DiskJob::Save(_)
+                | DiskJob::SaveWarmStart(_)
+                | DiskJob::StoreDeparture { .. },
+                None,
+            ) => continue,
         };
         let event = event.unwrap_or_else(|error| {
             folder = None;
--- a/crates/mulberry-registry/src/lib.rs
+++ b/crates/mulberry-registry/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! Changes to the configuration and to the evacuated zones are commands in a replicated log, acknowledged only after a
 //! majority has synced them to disk. Target announcements are soft state: each registry forwards changes to the other
-//! registries and to its connected gateways, and targets repeat their announcements every few seconds.
+//! registries and to its connected gateways, and targets repeat their announcements every few seconds. Only departures,
+//! which nobody repeats, are acknowledged after a majority has them on disk.
 
 mod command;
+mod departure_log;
 mod disk_thread;
 mod gateway_links;
 mod membership;
--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -1,5 +1,6 @@
 //! State of a registry and its event handlers.
 
+mod departures;
 mod gateways;
 mod gossip;
 mod group;
@@ -16,11 +17,13 @@
 use std::time::Instant;
 
 use mulberry_consensus::{DurableState, MemberId, Payload, Raft, RaftMessage, Role};
-use mulberry_directory::{GatewayInfo, GatewayList, RegistryMessage, TargetTable};
+use mulberry_directory::{GatewayInfo, GatewayList, RegistryMessage, TargetState, TargetTable};
 use mulberry_quarantine::{CrashCorrelator, PartTable};
 use mulberry_routes::{ConfigDelta, RoutingConfig};
 use tokio::sync::oneshot;
 
+pub(crate) use self::departures::DepartureRequester;
+use self::departures::PendingDeparture;
 use self::replica::{ProposalWaiter, ReadWaiter, Replica, raft_settings, sorted_ids};
 use crate::disk_thread::{DiskEvent, DiskJob, DiskThread};
 use crate::gateway_links::GatewayLinks;
@@ -70,6 +73,12 @@
     targets: TargetTable,
     restored: RestoredTargets,
 
+    /// Departures that wait to be stored by a majority, by request id.
+    pending_departures: HashMap<u64, PendingDeparture>,
+
+    /// Start and state of targets whose departure is known to be stored by a majority.
+    stored_departures: HashMap<Arc<str>, (u64, TargetState)>,
+
     /// Reports of gateways about crashed engines, and the parts of prompts that crash them.
     correlator: CrashCorrelator,
     parts: PartTable,
@@ -143,6 +152,8 @@
             gateways_gossip_due_ms: 0,
             targets: TargetTable::default(),
             restored: RestoredTargets::default(),
+            pending_departures: HashMap::new(),
+            stored_departures: HashMap::new(),
             correlator: CrashCorrelator::default(),
             parts: PartTable::default(),
             seen_targets: BTreeSet::new(),
@@ -202,9 +213,12 @@
 
     pub(crate) fn handle_disk_event(&mut self, event: DiskEvent) {
         match event {
-            DiskEvent::Opened { member, durable, warm_start } => {
+            DiskEvent::Opened { member, durable, warm_start, departures } => {
                 self.open_replica(member, durable);
-                self.restore_warm_start(&warm_start);
+                self.restore_warm_start(&warm_start, departures);
+            }
+            DiskEvent::DepartureStored { requester, record } => {
+                self.departure_synced(requester, record);
             }
             DiskEvent::Written { writes, took_s } => {
                 self.metrics.sync_seconds.observe(took_s);
@@ -302,6 +316,12 @@
                     self.targets.mark_seen(now_ms, id);
                 }
             }
+            PeerMessage::StoreDeparture { from, request_id, record } => {
+                self.store_departure_for(from, request_id, record);
+            }
+            PeerMessage::DepartureStored { from, request_id, record } => {
+                self.departure_stored(from, request_id, &record);
+            }
             PeerMessage::Gateways { from, gateways } => {
                 let address = self.address_of(MemberId(from));
                 if let Some(address) = address {
--- a/crates/mulberry-registry/src/node/gossip.rs
+++ b/crates/mulberry-registry/src/node/gossip.rs
@@ -40,6 +40,7 @@
             address: self.settings.link_address,
             has_group,
             initial_members: replica.initial_members.clone(),
+            stores_departures: true,
         };
         self.hellos.retain(|_, (_, received_ms)| *received_ms + HELLO_EXPIRY_MS > now_ms);
         let peers = self.known_peers();
@@ -52,6 +53,7 @@
     pub(super) fn gossip(&mut self, now_ms: u64) {
         self.drop_cancelled_requests();
         self.expire_parts();
+        self.expire_departures();
         let seen: Vec<Arc<str>> = std::mem::take(&mut self.seen_targets).into_iter().collect();
         let from = self.replica.as_ref().map_or(0, |replica| replica.raft.id().0);
         let gateways = self.gateways.infos();
--- a/crates/mulberry-registry/src/node/targets.rs
+++ b/crates/mulberry-registry/src/node/targets.rs
@@ -40,11 +40,15 @@
 impl Node {
     /// Restores the targets and the last known configuration from the warm-start file, until newer ones are known.
     /// Restarted gateways use them while the group elects a leader.
-    pub(super) fn restore_warm_start(&mut self, bytes: &[u8]) {
+    pub(super) fn restore_warm_start(&mut self, bytes: &[u8], departures: Vec<TargetRecord>) {
+        let now_ms = self.now_ms();
+        if !departures.is_empty() {
+            tracing::info!(event = "departures_recalled", count = departures.len());
+        }
+        self.apply_target_records(now_ms, departures);
         if bytes.is_empty() {
             return;
         }
-        let now_ms = self.now_ms();
         match WarmStartState::decode(bytes) {
             Ok(saved) => {
                 tracing::info!(
@@ -56,8 +60,14 @@
                 self.restored_state = Some(saved.operator);
                 self.publish();
                 let is_gone = |record: &TargetRecord| record.state == TargetState::Gone;
-                let (gone, restored) = saved.targets.into_iter().partition(is_gone);
+                let (gone, mut restored): (Vec<_>, Vec<_>) =
+                    saved.targets.into_iter().partition(is_gone);
                 self.apply_target_records(now_ms, gone);
+                let targets = &self.targets;
+                restored.retain(|record| {
+                    let known = targets.get(&record.id);
+                    known.is_none_or(|known| known.started_ms < record.started_ms)
+                });
                 self.gateways.send_all(&RegistryMessage::RestoredTargets(restored.clone()));
                 self.restored.restore(now_ms, restored);
             }
--- a/crates/mulberry-registry/src/peer_message.rs
+++ b/crates/mulberry-registry/src/peer_message.rs
@@ -54,6 +54,20 @@
         from: u64,
         gateways: Vec<GatewayInfo>,
     },
+
+    /// Asks to store that a target drains or has left. Sent only to registries whose hello says that they can.
+    StoreDeparture {
+        from: u64,
+        request_id: u64,
+        record: TargetRecord,
+    },
+
+    /// Reply to [`PeerMessage::StoreDeparture`] with the record that is on the sender's disk.
+    DepartureStored {
+        from: u64,
+        request_id: u64,
+        record: TargetRecord,
+    },
 }
 
 /// Identity and group status that a registry sends to its peers.
@@ -67,4 +81,7 @@
 
     /// Member ids of the initial group that it proposes or has formed.
     pub initial_members: Vec<u64>,
+
+    /// Whether the registry understands [`PeerMessage::StoreDeparture`]. Decodes as false if it is of an older version.
+    pub stores_departures: bool,
 }
--- a/crates/mulberry-registry/src/public_server.rs
+++ b/crates/mulberry-registry/src/public_server.rs
@@ -1,9 +1,10 @@
 //! HTTP server for operators and targets.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use mulberry_directory::AnnouncementOutcome;
+use mulberry_directory::{AnnouncementOutcome, TargetState};
 use mulberry_http1::{
     BodyDecoder, Http1Connection, ReadError, RequestHead, ResponseHead, request_framing, watch_peer,
 };
@@ -21,6 +22,9 @@
 /// Delay before another attempt, after a failed accept or while the group has no leader.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 
+/// Delay before registries that have not stored a departure are asked again.
+const DEPARTURE_RESEND_DELAY: Duration = Duration::from_millis(250);
+
 /// Time that a connection may stay idle between requests.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -136,14 +140,18 @@
             PublicRequest::Announce(record) => {
                 let id = record.id.clone();
                 let sequence = record.sequence;
+                let is_ready = record.state == TargetState::Ready;
                 if self.node.borrow_mut().announce(record) == AnnouncementOutcome::Outdated {
                     tracing::info!(event = "announcement_outdated", target_id = %id, sequence);
                 }
-                (self.success(), "announce")
+                if is_ready {
+                    return (self.success(), "announce");
+                }
+                (self.acknowledge_departure(&id, deadline).await, "announce")
             }
             PublicRequest::Leave { id, started_ms } => {
                 self.node.borrow_mut().deregister(&id, started_ms);
-                (self.success(), "leave")
+                (self.acknowledge_departure(&id, deadline).await, "leave")
             }
         }
     }
@@ -169,6 +177,22 @@
         }
     }
 
+    /// Responds once a majority of the registries has stored that the target drains or has left.
+    async fn acknowledge_departure(&self, id: &Arc<str>, deadline: Instant) -> Response {
+        loop {
+            let stored = self.node.borrow_mut().store_departure(id);
+            // The target has started again, or its start is unknown and cannot be used.
+            let Some(stored) = stored else { return self.success() };
+            let resend_at = deadline.min(Instant::now() + DEPARTURE_RESEND_DELAY);
+            if let Ok(Ok(())) = timeout_at(resend_at, stored).await {
+                return self.success();
+            }
+            if Instant::now() >= deadline {
+                return self.error(503, "no majority of the registries has stored it; try again");
+            }
+        }
+    }
+
     /// Whether the command is a configuration that would not replace the current one.
     fn is_superseded(&self, command: &Command) -> bool {
         let Command::Configure { config, .. } = command else { return false };
--- a/crates/mulberry-registry/tests/encoding.rs
+++ b/crates/mulberry-registry/tests/encoding.rs
@@ -84,6 +84,7 @@
             address: "127.0.0.1:9003".parse().expect("an address"),
             has_group: true,
             initial_members: vec![1, 300],
+            stores_departures: true,
         }),
         PeerMessage::Raft {
             from: 1,
@@ -101,5 +102,7 @@
         PeerMessage::Targets(vec![record()]),
         PeerMessage::TargetsSeen(vec!["target-1".into()]),
         PeerMessage::Gateways { from: 1, gateways: vec![gateway] },
+        PeerMessage::StoreDeparture { from: 1, request_id: 2, record: record() },
+        PeerMessage::DepartureStored { from: 300, request_id: 2, record: record() },
     ]));
 }
--- a/crates/mulberry-registry/tests/group.rs
+++ b/crates/mulberry-registry/tests/group.rs
@@ -44,17 +44,16 @@
                 let config = RoutingConfig { version, ..RoutingConfig::default() };
                 Ok(PublicRequest::Configure { config: Box::new(config), document: body })
             }
-            ("PUT", "/target") => Ok(PublicRequest::Announce(TargetRecord {
-                id: text.as_str().into(),
-                started_ms: 1,
-                sequence: 1,
-                service: "s".into(),
-                address: ([127, 0, 0, 1], 1).into(),
-                zone: "z".into(),
-                slots: 1,
-                state: TargetState::Ready,
-                cold_remaining_ms: 0,
-            })),
+            ("PUT", "/target") => Ok(PublicRequest::Announce(record(&text, 1, TargetState::Ready))),
+            ("PUT", "/second-start") => {
+                Ok(PublicRequest::Announce(record(&text, 2, TargetState::Ready)))
+            }
+            ("PUT", "/draining") => {
+                Ok(PublicRequest::Announce(record(&text, 1, TargetState::Draining)))
+            }
+            ("DELETE", "/target") => {
+                Ok(PublicRequest::Leave { id: text.as_str().into(), started_ms: None })
+            }
             _ => Err(InvalidRequest { status: 404, reason: "unknown".to_owned() }),
         }
     }
@@ -72,6 +71,20 @@
     }
 }
 
+fn record(id: &str, started_ms: u64, state: TargetState) -> TargetRecord {
+    TargetRecord {
+        id: id.into(),
+        started_ms,
+        sequence: if state == TargetState::Ready { 1 } else { 2 },
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "z".into(),
+        slots: 1,
+        state,
+        cold_remaining_ms: 0,
+    }
+}
+
 struct RunningRegistry {
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
@@ -476,6 +489,88 @@
     );
 }
 
+/// Reads messages of a new link until one tells the state of a target, possibly as restored from disk.
+fn read_state(group: &Group, member: u8, id: &str) -> TargetState {
+    let mut link = GatewayLink::open(group, member);
+    loop {
+        let (RegistryMessage::Targets(records) | RegistryMessage::RestoredTargets(records)) =
+            link.read()
+        else {
+            continue;
+        };
+        if let Some(record) = records.iter().find(|record| &*record.id == id) {
+            return record.state;
+        }
+    }
+}
+
+/// Copies the data folders as they are, and starts all members anew on the copies, as after a kill of all processes.
+fn restart_from_copies(group: &mut Group, members: &[u8]) {
+    let copies = group.folder.join("copies");
+    for member in members {
+        let copy = copies.join(member.to_string());
+        std::fs::create_dir_all(&copy).expect("creates a folder");
+        let files = std::fs::read_dir(group.folder.join(member.to_string())).expect("has a folder");
+        for file in files {
+            let path = file.expect("a file").path();
+            // A file that is being replaced may be gone.
+            let _ = std::fs::copy(&path, copy.join(path.file_name().expect("a name")));
+        }
+    }
+    for member in members {
+        group.stop(*member);
+    }
+    for member in members {
+        let folder = group.folder.join(member.to_string());
+        std::fs::remove_dir_all(&folder).expect("has a folder");
+        std::fs::rename(copies.join(member.to_string()), folder).expect("has a copy");
+        group.start(*member, false);
+    }
+}
+
+/// Guards against an engine that is in use again after all processes were killed: its departure was acknowledged when
+/// it was in memory only.
+#[test]
+fn an_acknowledged_departure_is_on_the_disks_of_a_majority() {
+    let mut group = Group::form("departure", 84, &[1, 2, 3]);
+    group.request_until_ok(1, "PUT", "/config", "1 a");
+    for id in ["leaves", "drains", "stays"] {
+        group.request_until_ok(1, "PUT", "/target", id);
+    }
+    // The warm-start state is saved 250 ms after a change.
+    std::thread::sleep(Duration::from_secs(1));
+    group.request_until_ok(2, "PUT", "/draining", "drains");
+    group.request_until_ok(3, "DELETE", "/target", "leaves");
+    restart_from_copies(&mut group, &[1, 2, 3]);
+    let states = |id: &str| -> Vec<TargetState> {
+        (1..=3).map(|member| read_state(&group, member, id)).collect()
+    };
+    let (left, drained) = (states("leaves"), states("drains"));
+    let count = |states: &[TargetState], state| states.iter().filter(|s| **s == state).count();
+    assert!(count(&left, TargetState::Gone) >= 2, "{left:?}");
+    assert!(count(&drained, TargetState::Draining) >= 2, "{drained:?}");
+    assert_eq!(states("stays"), [TargetState::Ready; 3]);
+}
+
+/// Guards against an acknowledgement of a departure that one lost disk undoes.
+#[test]
+fn a_departure_is_not_acknowledged_without_a_majority() {
+    let mut group = Group::form("departure-minority", 85, &[1, 2, 3]);
+    group.request_until_ok(1, "PUT", "/config", "1 a");
+    group.request_until_ok(1, "PUT", "/target", "leaves");
+    std::thread::sleep(Duration::from_secs(1));
+    group.stop(2);
+    group.stop(3);
+    let mut link = GatewayLink::open(&group, 1);
+    assert_eq!(group.request(1, "DELETE", "/target", "leaves").map(|r| r.0), Some(503));
+    // The gateways are told all the same.
+    while !matches!(link.read(), RegistryMessage::Targets(records) if records.iter().any(|r| r.state == TargetState::Gone))
+    {
+    }
+    group.start(2, false);
+    group.request_until_ok(1, "DELETE", "/target", "leaves");
+}
+
 #[test]
 fn a_quarantined_part_is_told_to_new_gateways_and_kept_over_a_restart() {
     let mut group = Group::form("parts", 81, &[1]);
