Take a departure without a start for that of the newest start that any registry knows

Cause: the registry that it called had been down while the engine started again under its id, and took the departure for that of the earlier start, which is outdated for everyone else. A registry that was away never learnt the records that had changed meanwhile, since each change is told once. Found while testing: a newer start that becomes known between the departure and its storage was acknowledged as if it had left.

Change: registries that are asked to store such a departure mark the newest start that they know as gone and answer with it; the asking one follows the newest answer, and acknowledges when a majority has stored that start. A registry that was silent is sent all targets. The caller must still be waiting, as for orders about zones, and a registry whose disk is not read yet refuses.

--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -17,7 +17,9 @@
 use std::time::Instant;
 
 use mulberry_consensus::{DurableState, MemberId, Payload, Raft, RaftMessage, Role};
-use mulberry_directory::{GatewayInfo, GatewayList, RegistryMessage, TargetState, TargetTable};
+use mulberry_directory::{
+    GatewayInfo, GatewayList, RegistryMessage, TargetRecord, TargetState, TargetTable,
+};
 use mulberry_quarantine::{CrashCorrelator, PartTable};
 use mulberry_routes::{ConfigDelta, RoutingConfig};
 use tokio::sync::oneshot;
@@ -37,6 +39,13 @@
 /// Interval between gossip rounds with the other registries and the gateways.
 const GOSSIP_INTERVAL_MS: u64 = 700;
 
+/// Silence of another registry after which it may have missed changes of targets. It sends a hello every 500 ms.
+const RESYNC_AFTER_SILENCE_MS: u64 = 1_200;
+
+/// Delays after the end of the silence at which all targets are sent. A link to a registry that was away may still be
+/// about to reconnect at the first time, and drop the message.
+const RESYNC_DELAYS_MS: [u64; 2] = [500, 2_500];
+
 /// Number of recent configurations kept for sending deltas to gateways.
 const MAX_RECENT_CONFIGS: usize = 8;
 
@@ -63,6 +72,9 @@
 
     gateways: GatewayLinks,
 
+    /// Registries to which all targets are to be sent, with the due time.
+    target_resyncs: Vec<(SocketAddr, u64)>,
+
     /// Gateways reported by other registries, by registry, with the arrival time.
     remote_gateways: HashMap<SocketAddr, (Vec<GatewayInfo>, u64)>,
 
@@ -149,6 +161,7 @@
             peers: PeerLinks::default(),
             hellos: BTreeMap::new(),
             gateways: GatewayLinks::default(),
+            target_resyncs: Vec::new(),
             remote_gateways: HashMap::new(),
             published_gateways: GatewayList::default(),
             gossiped_gateways: Vec::new(),
@@ -257,6 +270,11 @@
         self.advance();
     }
 
+    /// Whether the data folder is open, and the targets known before the start are restored.
+    pub(crate) fn is_open(&self) -> bool {
+        self.replica.is_some()
+    }
+
     /// State applied from the log by this replica.
     pub(crate) fn state(&self) -> Option<&OperatorState> {
         self.replica.as_ref().map(|replica| &replica.state)
@@ -329,8 +347,8 @@
                     self.targets.mark_seen(now_ms, id);
                 }
             }
-            PeerMessage::StoreDeparture { from, request_id, record } => {
-                self.store_departure_for(from, request_id, record);
+            PeerMessage::StoreDeparture { from, request_id, record, is_any_start } => {
+                self.store_departure_for(from, request_id, record, is_any_start);
             }
             PeerMessage::DepartureStored { from, request_id, record } => {
                 self.departure_stored(from, request_id, &record);
@@ -346,6 +364,22 @@
         self.advance();
     }
 
+    /// Sends all targets to the registries that were silent: while they were, they have missed the changes.
+    fn send_target_resyncs(&mut self, now_ms: u64) {
+        let is_due = |(_, due_ms): &(SocketAddr, u64)| *due_ms <= now_ms;
+        if !self.target_resyncs.iter().any(is_due) {
+            return;
+        }
+        let (due, later) = self.target_resyncs.drain(..).partition::<Vec<_>, _>(is_due);
+        self.target_resyncs = later;
+        let records: Vec<TargetRecord> =
+            self.targets.iter().map(|(record, _)| record.clone()).collect();
+        for (address, _) in due {
+            tracing::info!(event = "targets_resent", peer = %address, targets = records.len());
+            self.peers.send(address, PeerMessage::Targets(records.clone()));
+        }
+    }
+
     /// Handles a timer tick.
     pub(crate) fn tick(&mut self) {
         self.pauses.record_activity();
@@ -360,6 +394,7 @@
             self.save_warm_start(now_ms);
         }
         self.judge_parts();
+        self.send_target_resyncs(now_ms);
         if now_ms >= self.hello_due_ms {
             self.send_hellos(now_ms);
         }
@@ -414,8 +449,15 @@
         if hello.address == self.settings.link_address {
             return;
         }
-        let known = self.hellos.get(&hello.address).map(|(known, _)| known);
-        if known != Some(&hello) {
+        let known = self.hellos.get(&hello.address);
+        let was_silent =
+            known.is_none_or(|(_, received_ms)| received_ms + RESYNC_AFTER_SILENCE_MS < now_ms);
+        if was_silent {
+            let address = hello.address;
+            self.target_resyncs
+                .extend(RESYNC_DELAYS_MS.map(|delay_ms| (address, now_ms + delay_ms)));
+        }
+        if known.map(|(known, _)| known) != Some(&hello) {
             tracing::info!(
                 event = "peer_known",
                 peer = %hello.address,
--- a/crates/mulberry-registry/src/node/departures.rs
+++ b/crates/mulberry-registry/src/node/departures.rs
@@ -25,49 +25,72 @@
 #[derive(Debug)]
 pub(super) struct PendingDeparture {
     record: TargetRecord,
+    is_any_start: bool,
 
     /// Members that have stored the record.
     stored_by: Vec<u64>,
 
-    sender: Option<oneshot::Sender<()>>,
+    sender: oneshot::Sender<()>,
 }
 
 impl Node {
     /// Asks all registries to store the departure of a target. The receiver resolves once a majority has stored it.
-    /// `None` if the target is unknown or neither drains nor has left.
-    pub(crate) fn store_departure(&mut self, id: &Arc<str>) -> Option<oneshot::Receiver<()>> {
+    /// `None` if the target neither drains nor has left. With `is_any_start`, the target has left without naming its
+    /// start, and the departure is that of the newest start that any of these registries knows.
+    pub(crate) fn store_departure(
+        &mut self,
+        id: &Arc<str>,
+        is_any_start: bool,
+    ) -> Option<oneshot::Receiver<()>> {
         let record = self.targets.get(id).filter(|record| record.state != TargetState::Ready)?;
         let record = record.clone();
         let (sender, receiver) = oneshot::channel();
-        if self.stored_departures.get(id) == Some(&(record.started_ms, record.state)) {
+        let is_stored = self.stored_departures.get(id) == Some(&(record.started_ms, record.state));
+        if is_stored && !is_any_start {
             let _ = sender.send(());
-            return Some(receiver);
+        } else {
+            self.request_copies(record, is_any_start, sender);
         }
+        Some(receiver)
+    }
+
+    fn request_copies(
+        &mut self,
+        record: TargetRecord,
+        is_any_start: bool,
+        sender: oneshot::Sender<()>,
+    ) {
         self.last_request_id += 1;
         let request_id = self.last_request_id;
-        let pending = PendingDeparture {
-            record: record.clone(),
-            stored_by: Vec::new(),
-            sender: Some(sender),
-        };
-        self.pending_departures.insert(request_id, pending);
         let requester = DepartureRequester::Own { request_id };
         self.disk.submit(DiskJob::StoreDeparture { requester, record: record.clone() });
         let from = self.own_member();
         for address in self.known_peers() {
             if self.stores_departures(address) {
                 let record = record.clone();
-                self.peers.send(address, PeerMessage::StoreDeparture { from, request_id, record });
+                let message =
+                    PeerMessage::StoreDeparture { from, request_id, record, is_any_start };
+                self.peers.send(address, message);
             }
         }
-        Some(receiver)
+        let pending = PendingDeparture { record, is_any_start, stored_by: Vec::new(), sender };
+        self.pending_departures.insert(request_id, pending);
     }
 
     /// Stores a departure for another registry.
-    pub(super) fn store_departure_for(&mut self, from: u64, request_id: u64, record: TargetRecord) {
+    pub(super) fn store_departure_for(
+        &mut self,
+        from: u64,
+        request_id: u64,
+        record: TargetRecord,
+        is_any_start: bool,
+    ) {
         let now_ms = self.now_ms();
         let id = record.id.clone();
         self.apply_target_records(now_ms, vec![record]);
+        if is_any_start {
+            self.deregister(&id, None);
+        }
         let Some(known) = self.targets.get(&id).cloned() else { return };
         let requester = DepartureRequester::Peer { member: from, request_id };
         self.disk.submit(DiskJob::StoreDeparture { requester, record: known });
@@ -89,6 +112,11 @@
 
     /// Handles a member's report that it has stored a departure.
     pub(super) fn departure_stored(&mut self, from: u64, request_id: u64, record: &TargetRecord) {
+        let pending = self.pending_departures.get(&request_id);
+        if pending.is_some_and(|pending| pending.record.started_ms < record.started_ms) {
+            self.follow_newer_start(request_id, record);
+            return;
+        }
         let required = self.required_departure_copies();
         let counts = self.counts_for_departures(from);
         let Some(pending) = self.pending_departures.get_mut(&request_id) else { return };
@@ -109,8 +137,23 @@
             copies = required
         );
         self.stored_departures.insert(record.id.clone(), (record.started_ms, record.state));
-        if let Some(sender) = sender {
-            let _ = sender.send(());
+        let _ = sender.send(());
+    }
+
+    /// Handles that another registry knows a newer start of a target than this one, which then asks for copies of the
+    /// newer record.
+    fn follow_newer_start(&mut self, request_id: u64, record: &TargetRecord) {
+        let Some(pending) = self.pending_departures.remove(&request_id) else { return };
+        tracing::info!(
+            event = "newer_start_known",
+            target_id = %record.id,
+            started_ms = record.started_ms,
+            state = ?record.state
+        );
+        let now_ms = self.now_ms();
+        self.apply_target_records(now_ms, vec![record.clone()]);
+        if record.state != TargetState::Ready {
+            self.request_copies(record.clone(), pending.is_any_start, pending.sender);
         }
     }
 
@@ -118,8 +161,7 @@
     pub(super) fn expire_departures(&mut self) {
         let targets = &self.targets;
         self.stored_departures.retain(|id, _| targets.get(id).is_some());
-        self.pending_departures
-            .retain(|_, pending| pending.sender.as_ref().is_some_and(|sender| !sender.is_closed()));
+        self.pending_departures.retain(|_, pending| !pending.sender.is_closed());
     }
 
     /// Number of registries that must have stored a departure: a majority of the voters, or all that can store
--- a/crates/mulberry-registry/src/peer_message.rs
+++ b/crates/mulberry-registry/src/peer_message.rs
@@ -64,6 +64,10 @@
         from: u64,
         request_id: u64,
         record: TargetRecord,
+
+        /// Whether the target has left without naming its start. The departure is then that of the newest start that
+        /// the receiver knows.
+        is_any_start: bool,
     },
 
     /// Reply to [`PeerMessage::StoreDeparture`] with the record that is on the sender's disk.
--- a/crates/mulberry-registry/src/public_server.rs
+++ b/crates/mulberry-registry/src/public_server.rs
@@ -160,11 +160,19 @@
                 if is_ready {
                     return (self.success(), "announce");
                 }
-                (self.acknowledge_departure(&id, deadline).await, "announce")
+                (self.acknowledge_departure(&id, false, connection, deadline).await, "announce")
             }
             PublicRequest::Leave { id, started_ms } => {
-                self.node.borrow_mut().deregister(&id, started_ms);
-                (self.acknowledge_departure(&id, deadline).await, "leave")
+                let is_any_start = started_ms.is_none();
+                if is_any_start && !self.node.borrow().is_open() {
+                    let reason = "this registry has not read its disk yet; try another one";
+                    return (self.error(503, reason), "leave");
+                }
+                if !is_any_start {
+                    self.node.borrow_mut().deregister(&id, started_ms);
+                }
+                let response = self.acknowledge_departure(&id, is_any_start, connection, deadline);
+                (response.await, "leave")
             }
         }
     }
@@ -183,7 +191,7 @@
             // Read before the caller is checked: if the process is paused in between, the leader refuses the command.
             let last_zone_change = command.is_zone_change().then(|| self.last_zone_change());
             if last_zone_change.is_some() && self.is_abandoned(connection) {
-                return self.error(503, "the caller may have given up; send the request again");
+                return self.abandoned();
             }
             let proposed = self.node.borrow_mut().propose(command.clone(), last_zone_change);
             let committed = match proposed {
@@ -195,8 +203,9 @@
                 Ok(Ok(false) | Err(_)) if Instant::now() + RETRY_DELAY < deadline => {
                     if let Some(index) = last_zone_change {
                         // The leader refuses the change if this registry has not applied a previous one yet.
-                        let _ = self.catch_up(deadline).await;
-                        if self.last_zone_change() > index {
+                        let retry_at = Instant::now() + RETRY_DELAY;
+                        let caught_up = timeout_at(retry_at, self.catch_up(deadline)).await;
+                        if caught_up.is_err() || self.last_zone_change() > index {
                             continue;
                         }
                     }
@@ -208,10 +217,24 @@
     }
 
     /// Responds once a majority of the registries has stored that the target drains or has left.
-    async fn acknowledge_departure(&self, id: &Arc<str>, deadline: Instant) -> Response {
+    async fn acknowledge_departure(
+        &self,
+        id: &Arc<str>,
+        is_any_start: bool,
+        connection: &Http1Connection,
+        deadline: Instant,
+    ) -> Response {
         loop {
-            let stored = self.node.borrow_mut().store_departure(id);
-            // The target has started again, or its start is unknown and cannot be used.
+            if is_any_start {
+                // The target may have started again since its caller gave up.
+                if self.is_abandoned(connection) {
+                    return self.abandoned();
+                }
+                // A newer start may have become known since the last attempt.
+                self.node.borrow_mut().deregister(id, None);
+            }
+            let stored = self.node.borrow_mut().store_departure(id, is_any_start);
+            // A newer start of the target is known.
             let Some(stored) = stored else { return self.success() };
             let resend_at = deadline.min(Instant::now() + DEPARTURE_RESEND_DELAY);
             if let Ok(Ok(())) = timeout_at(resend_at, stored).await {
@@ -281,6 +304,10 @@
         timeout_at(deadline, applied).await.ok()?.ok()
     }
 
+    fn abandoned(&self) -> Response {
+        self.error(503, "the caller may have given up; send the request again")
+    }
+
     fn success(&self) -> Response {
         (200, self.protocol.success_body())
     }
--- a/crates/mulberry-registry/tests/encoding.rs
+++ b/crates/mulberry-registry/tests/encoding.rs
@@ -122,7 +122,12 @@
         PeerMessage::Targets(vec![record()]),
         PeerMessage::TargetsSeen(vec!["target-1".into()]),
         PeerMessage::Gateways { from: 1, gateways: vec![gateway] },
-        PeerMessage::StoreDeparture { from: 1, request_id: 2, record: record() },
+        PeerMessage::StoreDeparture {
+            from: 1,
+            request_id: 2,
+            record: record(),
+            is_any_start: true,
+        },
         PeerMessage::DepartureStored { from: 300, request_id: 2, record: record() },
     ]));
 }
--- a/crates/mulberry-registry/tests/group.rs
+++ b/crates/mulberry-registry/tests/group.rs
@@ -17,6 +17,7 @@
     InvalidRequest, PublicProtocol, PublicRequest, Registry, RegistrySettings,
 };
 use mulberry_routes::RoutingConfig;
+use socket2::SockRef;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::oneshot;
 
@@ -449,6 +450,15 @@
         postcard::from_bytes(&body).expect("a message of a registry")
     }
 
+    /// Reads messages until the registry publishes a target for which a condition holds.
+    fn read_until_target(&mut self, is_met: impl Fn(&TargetRecord) -> bool) {
+        let started = Instant::now();
+        while !matches!(self.read(), RegistryMessage::Targets(records) if records.iter().any(&is_met))
+        {
+            assert!(started.elapsed() < WAIT_TIMEOUT, "no such target was published");
+        }
+    }
+
     /// Reads messages until the registry publishes the target as usable.
     fn read_until_usable(&mut self, id: &str) {
         let started = Instant::now();
@@ -531,8 +541,9 @@
     group.request_until_ok(1, "PUT", "/config", "1 a");
     group.request_until_ok(1, "POST", "/zone", "z");
     for member in 1..=3 {
-        // The caller closes the connection at once, as if the registry had read the request seconds later.
+        // The request and the close arrive at once, as if the registry had read the request seconds later.
         let mut stream = TcpStream::connect(group.public_address(member)).expect("connects");
+        SockRef::from(&stream).set_tcp_cork(true).expect("sets the option");
         let request = b"DELETE /zone HTTP/1.1\r\nHost: r\r\nContent-Length: 1\r\n\r\nz";
         stream.write_all(request).expect("sends");
         drop(stream);
@@ -671,13 +682,43 @@
     let mut link = GatewayLink::open(&group, 1);
     assert_eq!(group.request(1, "DELETE", "/target", "leaves").map(|r| r.0), Some(503));
     // The gateways are told all the same.
-    while !matches!(link.read(), RegistryMessage::Targets(records) if records.iter().any(|r| r.state == TargetState::Gone))
-    {
-    }
+    link.read_until_target(|record| record.state == TargetState::Gone);
     group.start(2, false);
     group.request_until_ok(1, "DELETE", "/target", "leaves");
 }
 
+/// Guards against a departure that is taken for that of an earlier start, by a registry that was away while the target
+/// started again: it was acknowledged, and no other registry and no gateway learnt it.
+#[test]
+fn a_departure_without_a_start_is_that_of_the_newest_start_any_registry_knows() {
+    let mut group = Group::form("newest-start", 89, &[1, 2, 3]);
+    group.request_until_ok(1, "PUT", "/config", "1 a");
+    group.request_until_ok(1, "PUT", "/target", "t");
+    // The warm-start state is saved 250 ms after a change.
+    std::thread::sleep(Duration::from_secs(1));
+    group.stop(3);
+    group.request_until_ok(1, "PUT", "/second-start", "t");
+    group.start(3, false);
+    let mut link = GatewayLink::open(&group, 2);
+    group.request_until_ok(3, "DELETE", "/target", "t");
+    link.read_until_target(|record| record.started_ms == 2 && record.state == TargetState::Gone);
+}
+
+/// Guards against a registry that was away and never learns the changes that it missed.
+#[test]
+fn a_registry_that_was_away_learns_the_targets_that_changed_meanwhile() {
+    let mut group = Group::form("resync", 90, &[1, 2, 3]);
+    group.request_until_ok(1, "PUT", "/config", "1 a");
+    group.request_until_ok(1, "PUT", "/target", "t");
+    std::thread::sleep(Duration::from_secs(1));
+    group.stop(3);
+    group.request_until_ok(1, "PUT", "/second-start", "t");
+    std::thread::sleep(Duration::from_secs(2));
+    group.start(3, false);
+    let mut link = GatewayLink::open(&group, 3);
+    link.read_until_target(|record| record.started_ms == 2);
+}
+
 #[test]
 fn a_quarantined_part_is_told_to_new_gateways_and_kept_over_a_restart() {
     let mut group = Group::form("parts", 81, &[1]);
