Answer the requests that are open at the end of a planned stop

Reported by other operators: requests taken in the grace of a planned stop are cut without an answer at its end.

Here: late requests are refused (a_request_late_in_a_stop_is_refused_immediately), but requests taken before, with a limit beyond the end of the stop, were cut, also such that must not run twice. Seen: of three open requests two ended without a byte.

Change: 0.2 s before its end a stopping gateway answers requests without a response with 504, or with 503 if nothing was sent.

--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -17,6 +17,7 @@
 use mulberry_scheduler::{Outcome, abandonment_timeout_ms};
 use tokio::time::{Instant, timeout_at};
 
+use self::admission::STOPPING_RETRY_AFTER_MS;
 pub(crate) use self::admission::serve;
 use self::quarantine::wait_until_quarantined;
 use self::responses::{send_complete, send_error};
@@ -85,6 +86,10 @@
     unsent_attempts: u32,
 
     may_have_run: bool,
+
+    /// Whether an attempt has begun whose outcome is not known yet.
+    is_attempting: bool,
+
     excluded: Vec<Arc<str>>,
     last_target: Option<Arc<str>>,
 
@@ -175,13 +180,28 @@
     }
 }
 
+/// Returns once open requests must be answered because this gateway stops.
+async fn stop_time_over(shared: &Shared) {
+    loop {
+        let changed = shared.changed.notified();
+        if shared.must_answer.get() {
+            return;
+        }
+        changed.await;
+    }
+}
+
 impl Exchange {
     async fn run(&mut self, client: &mut Http1Connection, keeps_alive: bool) -> AfterResponse {
         let relay = EventRelay::new(self.fields.last_event);
+        let shared = self.shared.clone();
         let outcome = tokio::select! {
             biased;
             outcome = self.forward(relay.last_event()) => Some(outcome),
             () = client.wait_closed() => None,
+            () = stop_time_over(&shared) => {
+                return self.answer_at_end_of_stop(client).await;
+            }
         };
         match outcome {
             None => {
@@ -208,6 +228,18 @@
         }
     }
 
+    /// Answers a request for which the stop of this gateway leaves no more time.
+    async fn answer_at_end_of_stop(&mut self, client: &mut Http1Connection) -> AfterResponse {
+        let may_have_run = self.may_have_run || self.sent_attempts > 0 || self.is_attempting;
+        let error_response = if may_have_run {
+            ErrorResponse { status: 504, retry_after_ms: None }
+        } else {
+            ErrorResponse { status: 503, retry_after_ms: Some(STOPPING_RETRY_AFTER_MS) }
+        };
+        self.finish("stopped", error_response.status);
+        send_error(client, &error_response, "this gateway has stopped", false).await
+    }
+
     /// Sends the request to targets until one responds or no further attempt is allowed. A stream resumes after event
     /// `after`.
     async fn forward(&mut self, after: Option<u64>) -> ForwardOutcome {
@@ -232,6 +264,7 @@
             }
             let (shared, parts) = (self.shared.clone(), self.shared_parts.clone());
             let can_be_cancelled = !self.is_trial && !parts.is_empty();
+            self.is_attempting = true;
             let outcome = tokio::select! {
                 biased;
                 outcome = self.attempt(selected, after) => outcome,
@@ -239,6 +272,7 @@
                     return ForwardOutcome::Error(self.cancel_quarantined());
                 }
             };
+            self.is_attempting = false;
             if let Some(outcome) = outcome {
                 return outcome;
             }
--- a/crates/mulberry-gateway/src/exchange/admission.rs
+++ b/crates/mulberry-gateway/src/exchange/admission.rs
@@ -18,7 +18,7 @@
 use crate::shared::Shared;
 
 /// `Retry-After` while this gateway is stopping; the load balancer sends the retry to another one.
-const STOPPING_RETRY_AFTER_MS: u64 = 100;
+pub(super) const STOPPING_RETRY_AFTER_MS: u64 = 100;
 
 /// Serves a request that arrived at `arrived`.
 pub(crate) async fn serve(
@@ -179,6 +179,7 @@
             sent_attempts: 0,
             unsent_attempts: 0,
             may_have_run: false,
+            is_attempting: false,
             excluded: Vec::new(),
             last_target: None,
             last_failure: None,
--- a/crates/mulberry-gateway/src/gateway.rs
+++ b/crates/mulberry-gateway/src/gateway.rs
@@ -29,6 +29,9 @@
 /// Margin before the process is killed, by which the gateway exits on its own.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time before the end of a stop at which requests without a response are answered.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// Interval at which a stopping gateway checks for open requests and connections.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -144,6 +147,10 @@
         let now = Instant::now();
         shared.refuses_new_requests.set(now >= stop_start + stop_time.mul_f64(ACCEPT_TIME_SHARE));
         let is_done = shared.active.get() == 0 && shared.connections.get() == 0;
+        if now + LAST_ANSWER_TIME >= latest_end && !shared.must_answer.replace(true) {
+            tracing::info!(event = "stop_time_over", active = shared.active.get());
+            shared.changed.notify_waiters();
+        }
         if now >= latest_end || (now >= earliest_end && is_done) {
             return stop_start;
         }
--- a/crates/mulberry-gateway/src/shared.rs
+++ b/crates/mulberry-gateway/src/shared.rs
@@ -44,6 +44,9 @@
     /// Whether new requests are refused because the stop may not leave enough time to finish them.
     pub refuses_new_requests: Cell<bool>,
 
+    /// Whether the time of a stop is over, and open requests must be answered now.
+    pub must_answer: Cell<bool>,
+
     pub links: Cell<usize>,
     pub active: Cell<usize>,
     pub connections: Cell<usize>,
@@ -100,6 +103,7 @@
             metrics: GatewayMetrics::default(),
             is_stopping: Cell::new(false),
             refuses_new_requests: Cell::new(false),
+            must_answer: Cell::new(false),
             links: Cell::new(0),
             active: Cell::new(0),
             connections: Cell::new(0),
--- a/crates/mulberry-gateway/tests/forwarding.rs
+++ b/crates/mulberry-gateway/tests/forwarding.rs
@@ -300,6 +300,47 @@
     assert_eq!(read_reply(&mut stream).status, 504, "an open request gets its response");
 }
 
+/// Guards against requests that are cut without an answer when the time of a stop is over.
+#[test]
+fn requests_still_open_at_the_end_of_a_stop_get_an_answer() {
+    let slow = Target::start("slow", vec![Action::SendAndHang(String::new())]);
+    let mut patient = config(1);
+    for route in &mut patient.routes {
+        route.timeout_ms = 30_000;
+    }
+    let mut fleet = Fleet::ready("stop-end", patient, &[&slow]);
+    let open: Vec<TcpStream> = ["/once/", "/safe/", "/stream/"]
+        .iter()
+        .map(|path| {
+            let mut stream = TcpStream::connect(fleet.callers).expect("connects");
+            stream.write_all(request("POST", path, "", "pay").as_bytes()).expect("sends");
+            stream
+        })
+        .collect();
+    wait_until("the target has the requests", || slow.received().len() == 3);
+    fleet.stop_gateway();
+    for mut stream in open {
+        let reply = read_reply(&mut stream);
+        // They may have run, so the answer does not promise that they did not.
+        assert!(matches!(reply.status, 502 | 504), "{reply:?}");
+    }
+}
+
+/// Guards against a response that ends within its head or body and is passed on as a whole one.
+#[test]
+fn a_response_broken_off_anywhere_is_not_passed_on_as_whole() {
+    let whole = response(200, "hello");
+    let cuts: Vec<usize> = (0..whole.len()).filter(|cut| whole.is_char_boundary(*cut)).collect();
+    let actions = cuts.iter().map(|cut| Action::SendAndClose(whole[..*cut].to_owned())).collect();
+    let target = Target::start("one", actions);
+    let fleet = Fleet::ready("cut-response", config(1), &[&target]);
+    for cut in &cuts {
+        let reply = fleet.post("/once/", "", "pay");
+        assert!(reply.status >= 500, "cut at {cut}: {} {}", reply.head, reply.body);
+    }
+    assert!(target.received().len() > cuts.len() / 2, "{} requests", target.received().len());
+}
+
 /// Calls until connections are refused, sending each request some time after connecting. Returns the number of
 /// requests that were sent and got no response.
 fn call_until_refused(address: SocketAddr) -> usize {
