Wake open requests at the end of a stop only

Since each open request waited for the notification that the configuration or the known targets changed, to see whether a stop leaves it no more time. Each announcement of a target therefore woke and polled every open request of the gateway. The end of a stop has a notification of its own now.

--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -182,12 +182,9 @@
 
 /// Returns once open requests must be answered because this gateway stops.
 async fn stop_time_over(shared: &Shared) {
-    loop {
-        let changed = shared.changed.notified();
-        if shared.must_answer.get() {
-            return;
-        }
-        changed.await;
+    let must_answer_set = shared.must_answer_set.notified();
+    if !shared.must_answer.get() {
+        must_answer_set.await;
     }
 }
 
--- a/crates/mulberry-gateway/src/gateway.rs
+++ b/crates/mulberry-gateway/src/gateway.rs
@@ -149,7 +149,7 @@
         let is_done = shared.active.get() == 0 && shared.connections.get() == 0;
         if now + LAST_ANSWER_TIME >= latest_end && !shared.must_answer.replace(true) {
             tracing::info!(event = "stop_time_over", active = shared.active.get());
-            shared.changed.notify_waiters();
+            shared.must_answer_set.notify_waiters();
         }
         if now >= latest_end || (now >= earliest_end && is_done) {
             return stop_start;
--- a/crates/mulberry-gateway/src/shared.rs
+++ b/crates/mulberry-gateway/src/shared.rs
@@ -51,6 +51,9 @@
     pub active: Cell<usize>,
     pub connections: Cell<usize>,
 
+    /// Notified when `must_answer` is set.
+    pub must_answer_set: Notify,
+
     /// Notified when the configuration or the known targets change.
     pub changed: Notify,
 
@@ -107,6 +110,7 @@
             links: Cell::new(0),
             active: Cell::new(0),
             connections: Cell::new(0),
+            must_answer_set: Notify::new(),
             changed: Notify::new(),
             part_quarantined: Notify::new(),
             part_messages_added: Notify::new(),
