Answer the requests that an entry has open at the end of a planned stop

Callers of the product's own interface saw their connection cut when a stop took longer than stop_timeout_ms, among them callers of plain services whose calls may not be repeated: HttpServer::stop waited for the requests in flight and the server was dropped then. Shortly before the end, requests in handlers now get 504 with the outcome unknown, and requests whose body has not arrived 503, which have not run. stop still reports that not all ended by themselves.

--- a/crates/mulberry-http/src/server.rs
+++ b/crates/mulberry-http/src/server.rs
@@ -30,9 +30,24 @@
 /// Time after the listener has closed for the requests of those that have just connected; callers send theirs at once.
 const LAST_REQUESTS: Duration = Duration::from_millis(200);
 
+/// Time before the end of a stop at which requests without an answer get one.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
+
 /// Time between two looks at what is left while stopping.
 const STOP_CHECK: Duration = Duration::from_millis(10);
 
+/// Progress of a stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum StopPhase {
+    Running,
+
+    /// No more connections are accepted; requests in flight are waited for.
+    Draining,
+
+    /// Requests without an answer get one now, since they would be cut otherwise.
+    Answering,
+}
+
 type Handler = dyn Fn(Request, Responder) + Send + Sync;
 
 /// Counters of a server.
@@ -58,7 +73,7 @@
 pub struct HttpServer {
     local_address: SocketAddr,
     shared: Arc<Shared>,
-    stop: watch::Sender<bool>,
+    phase: watch::Sender<StopPhase>,
 
     /// Ends once no more connections are accepted.
     accepting: JoinHandle<()>,
@@ -98,13 +113,13 @@
             .build()?;
         let shared =
             Arc::new(Shared { settings, stats: HttpStats::default(), handler: Box::new(handler) });
-        let (stop, stopped) = watch::channel(false);
+        let (phase, phases) = watch::channel(StopPhase::Running);
         let listener = {
             let _context = runtime.enter();
             tokio::net::TcpListener::from_std(listener)?
         };
-        let accepting = runtime.spawn(accept(listener, shared.clone(), stopped));
-        Ok(HttpServer { local_address, shared, stop, accepting, runtime: Some(runtime) })
+        let accepting = runtime.spawn(accept(listener, shared.clone(), phases));
+        Ok(HttpServer { local_address, shared, phase, accepting, runtime: Some(runtime) })
     }
 
     /// Address of the listener.
@@ -118,20 +133,24 @@
     }
 
     /// Accepts no more connections, closes those that send no request within a moment, and waits for the requests in
-    /// flight.
+    /// flight. Shortly before the end of `timeout`, requests that have no answer yet get an error.
     ///
-    /// Returns whether all of them ended within `timeout`.
+    /// Returns whether all of them ended by themselves.
     pub fn stop(&self, timeout: Duration) -> bool {
-        self.stop.send_replace(true);
+        self.phase.send_replace(StopPhase::Draining);
         let end = Instant::now() + timeout;
         let is_open = || self.shared.stats.connections.load(Ordering::Acquire) > 0;
         while !self.accepting.is_finished() || is_open() {
-            if Instant::now() >= end {
+            let now = Instant::now();
+            if now >= end {
                 return false;
             }
+            if now + LAST_ANSWERS >= end {
+                self.phase.send_replace(StopPhase::Answering);
+            }
             std::thread::sleep(STOP_CHECK);
         }
-        true
+        *self.phase.borrow() < StopPhase::Answering
     }
 }
 
@@ -185,14 +204,14 @@
 async fn accept(
     listener: tokio::net::TcpListener,
     shared: Arc<Shared>,
-    mut stopped: watch::Receiver<bool>,
+    mut phases: watch::Receiver<StopPhase>,
 ) {
     loop {
         let accepted = tokio::select! {
             // Those that have connected before a stop are served.
             biased;
             accepted = listener.accept() => accepted,
-            () = stop_requested(&mut stopped) => return,
+            () = stop_requested(&mut phases) => return,
         };
         match accepted {
             Ok((stream, remote)) => {
@@ -201,7 +220,7 @@
                     shared.stats.refused_connections.fetch_add(1, Ordering::Relaxed);
                     continue;
                 };
-                tokio::spawn(serve(stream, remote, open, stopped.clone()));
+                tokio::spawn(serve(stream, remote, open, phases.clone()));
             }
             Err(error) => {
                 tracing::warn!(%error, "accept_failed");
@@ -215,23 +234,24 @@
     stream: TcpStream,
     remote: SocketAddr,
     open: OpenConnection,
-    mut stopped: watch::Receiver<bool>,
+    phases: watch::Receiver<StopPhase>,
 ) {
     let shared = &open.0;
     // Without this, each small event of a stream may wait for an acknowledgement of the previous one.
     let _ = stream.set_nodelay(true);
     let service = service_fn(|request| {
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(answer(&shared, request, remote).await) }
+        let (shared, phases) = (shared.clone(), phases.clone());
+        async move { Ok::<_, Infallible>(answer(&shared, request, remote, phases).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(shared.settings.header_timeout_ms))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    let mut ended = phases.clone();
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = end_requested(&mut stopped) => {
+        () = end_requested(&mut ended) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -242,23 +262,39 @@
 }
 
 /// Resolves when connections without a request are to be closed.
-async fn end_requested(stopped: &mut watch::Receiver<bool>) {
-    stop_requested(stopped).await;
+async fn end_requested(phases: &mut watch::Receiver<StopPhase>) {
+    stop_requested(phases).await;
     tokio::time::sleep(LAST_REQUESTS).await;
 }
 
-async fn stop_requested(stopped: &mut watch::Receiver<bool>) {
+/// Resolves when requests without an answer must get one.
+async fn answers_due(phases: &mut watch::Receiver<StopPhase>) {
+    if phases.wait_for(|phase| *phase == StopPhase::Answering).await.is_err() {
+        // The server was dropped, which cuts this request.
+        std::future::pending::<()>().await;
+    }
+}
+
+async fn stop_requested(phases: &mut watch::Receiver<StopPhase>) {
     // An error means that the server was dropped, which stops it as well.
-    let _ = stopped.wait_for(|stopped| *stopped).await;
+    let _ = phases.wait_for(|phase| *phase >= StopPhase::Draining).await;
 }
 
 async fn answer(
     shared: &Arc<Shared>,
     request: hyper::Request<Incoming>,
     remote: SocketAddr,
+    mut phases: watch::Receiver<StopPhase>,
 ) -> hyper::Response<AnswerBody> {
-    let answer = match receive(shared, request, remote).await {
-        Ok(request) => handle(shared, request).await,
+    let received = tokio::select! {
+        biased;
+        received = receive(shared, request, remote) => received,
+        () = answers_due(&mut phases) => {
+            Err(Refusal(StatusCode::SERVICE_UNAVAILABLE, "server_stopping"))
+        }
+    };
+    let answer = match received {
+        Ok(request) => handle(shared, request, phases).await,
         Err(refusal) => {
             shared.stats.refused_requests.fetch_add(1, Ordering::Relaxed);
             refuse(&refusal)
@@ -307,7 +343,11 @@
     Ok(received.freeze())
 }
 
-async fn handle(shared: &Arc<Shared>, request: Request) -> Answer {
+async fn handle(
+    shared: &Arc<Shared>,
+    request: Request,
+    mut phases: watch::Receiver<StopPhase>,
+) -> Answer {
     let (sender, receiver) = oneshot::channel();
     let write_timeout = Duration::from_millis(shared.settings.write_timeout_ms);
     let responder = Responder::new(sender, Handle::current(), write_timeout);
@@ -321,7 +361,19 @@
         let _in_flight = Counted(&shared.stats.in_flight, 1);
         (shared.handler)(request, responder);
     });
-    receiver.await.unwrap_or_else(|_| {
+    let answered = tokio::select! {
+        biased;
+        answered = receiver => answered,
+        () = answers_due(&mut phases) => {
+            return to_answer(Response::error(
+                StatusCode::GATEWAY_TIMEOUT,
+                "server_stopped",
+                "unknown",
+                "this instance has stopped before the request ended",
+            ));
+        }
+    };
+    answered.unwrap_or_else(|_| {
         to_answer(Response::error(
             StatusCode::INTERNAL_SERVER_ERROR,
             "internal_error",
@@ -336,6 +388,7 @@
         "body_timeout" => "the body did not arrive in time; send it faster",
         "body_too_large" => "the body is too large; send a shorter one",
         "body_incomplete" => "the body ended early or is malformed; send it whole",
+        "server_stopping" => "this instance is stopping; send the request again",
         _ => "too many requests at once; retry after the given time",
     };
     let response = Response::error(status, code, "not_run", message);
--- a/crates/mulberry-http/tests/bounds.rs
+++ b/crates/mulberry-http/tests/bounds.rs
@@ -208,3 +208,32 @@
     let unanswered: usize = calls.into_iter().map(|calls| calls.join().unwrap()).sum();
     assert_eq!(unanswered, 0, "calls were cut without an answer");
 }
+
+/// Guards against requests that are cut without an answer when the time of a stop is over.
+#[test]
+fn requests_still_open_at_the_end_of_a_stop_get_an_answer() {
+    let (entered, is_in) = mpsc::channel();
+    let (release, released) = mpsc::channel::<()>();
+    let released = std::sync::Mutex::new(released);
+    let server = start(HttpSettings::default(), move |request, responder| {
+        entered.send(()).unwrap();
+        let _ = released.lock().unwrap().recv_timeout(PATIENCE);
+        echo(request, responder);
+    });
+    let address = server.local_address();
+    let running =
+        std::thread::spawn(move || exchange(address, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"));
+    is_in.recv_timeout(PATIENCE).unwrap();
+    let incomplete = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf";
+    let incomplete = std::thread::spawn(move || exchange(address, incomplete));
+    std::thread::sleep(Duration::from_millis(100));
+    assert!(!server.stop(Duration::from_millis(700)), "a request was still running");
+    drop(server);
+    let running = running.join().unwrap();
+    assert!(running.starts_with("HTTP/1.1 504"), "{running:?}");
+    assert!(running.contains(r#""code":"server_stopped","outcome":"unknown""#), "{running}");
+    let incomplete = incomplete.join().unwrap();
+    assert!(incomplete.starts_with("HTTP/1.1 503"), "{incomplete:?}");
+    assert!(incomplete.contains(r#""code":"server_stopping","outcome":"not_run""#), "{incomplete}");
+    drop(release);
+}
