Send a registry that was silent only the changes that it has missed

Since a registry that had been silent for 1.2 s was sent the records of all targets. The receiver took each with a sequence newer than its own for a sign of life, and each target restored from its notes for seen. An engine that had died counted as alive for up to 3.7 s longer there, and gateways leave out an engine only when all linked registries miss it. At a start, each of n registries also sent its whole table to all others twice.

Change: each record keeps the time of its last change. Departures, and what has changed since a second before the silence, are sent; everything only to a registry that was away for longer than hellos are kept.

a_target_that_nobody_heard_from_is_not_confirmed_to_a_registry_that_was_away fails with all records sent and passes now; all tests of mulberry-registry and mulberry-directory pass.

--- a/crates/mulberry-directory/src/target_table.rs
+++ b/crates/mulberry-directory/src/target_table.rs
@@ -18,6 +18,9 @@
 struct Entry {
     record: TargetRecord,
     last_seen_ms: u64,
+
+    /// Time of the last announcement that changed the record.
+    changed_ms: u64,
 }
 
 /// Effect of an announcement on a [`TargetTable`].
@@ -38,7 +41,8 @@
     /// Applies an announcement that arrived at `now_ms`.
     pub fn apply(&mut self, now_ms: u64, record: TargetRecord) -> AnnouncementOutcome {
         let Some(entry) = self.targets.get_mut(&record.id) else {
-            self.targets.insert(record.id.clone(), Entry { record, last_seen_ms: now_ms });
+            let id = record.id.clone();
+            self.targets.insert(id, Entry { record, last_seen_ms: now_ms, changed_ms: now_ms });
             return AnnouncementOutcome::Changed;
         };
         let known = &entry.record;
@@ -51,7 +55,8 @@
             ..record.clone()
         } == *known
             && (record.cold_remaining_ms > 0) == (known.cold_remaining_ms > 0);
-        *entry = Entry { record, last_seen_ms: now_ms };
+        let changed_ms = if is_same { entry.changed_ms } else { now_ms };
+        *entry = Entry { record, last_seen_ms: now_ms, changed_ms };
         if is_same { AnnouncementOutcome::Refreshed } else { AnnouncementOutcome::Changed }
     }
 
@@ -102,6 +107,16 @@
         self.targets.values().map(|entry| (&entry.record, entry.last_seen_ms))
     }
 
+    /// Records that have changed since `since_ms`, and all departures.
+    pub fn changes_since(&self, since_ms: u64) -> impl Iterator<Item = &TargetRecord> {
+        self.targets
+            .values()
+            .filter(move |entry| {
+                entry.changed_ms >= since_ms || entry.record.state != TargetState::Ready
+            })
+            .map(|entry| &entry.record)
+    }
+
     /// Removes targets last seen before `before_ms`. Returns those that had not left.
     pub fn expire(&mut self, before_ms: u64) -> Vec<TargetRecord> {
         let expired: Vec<Arc<str>> = self
--- a/crates/mulberry-directory/tests/targets.rs
+++ b/crates/mulberry-directory/tests/targets.rs
@@ -49,6 +49,27 @@
     assert_eq!(table.apply(2, record(1_001, 1, TargetState::Ready)), AnnouncementOutcome::Changed);
 }
 
+#[test]
+fn changes_since_a_time_include_departures_and_no_refreshes() {
+    let mut table = TargetTable::default();
+    let named = |id: &str, sequence: u64, state: TargetState| TargetRecord {
+        id: id.into(),
+        ..record(5, sequence, state)
+    };
+    table.apply(1, named("refreshed", 1, TargetState::Ready));
+    table.apply(2, named("draining", 1, TargetState::Draining));
+    table.apply(3, named("moved", 1, TargetState::Ready));
+    table.deregister(4, &"gone".into(), None, 1_000);
+    table.apply(5, named("refreshed", 2, TargetState::Ready));
+    table.apply(6, TargetRecord { slots: 4, ..named("moved", 2, TargetState::Ready) });
+    let changes = |since_ms| -> Vec<String> {
+        table.changes_since(since_ms).map(|record| record.id.to_string()).collect()
+    };
+    assert_eq!(changes(0), ["draining", "gone", "moved", "refreshed"]);
+    assert_eq!(changes(5), ["draining", "gone", "moved"]);
+    assert_eq!(changes(7), ["draining", "gone"]);
+}
+
 #[test]
 fn refreshes_are_distinguished_from_changes() {
     let mut table = TargetTable::default();
--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -42,16 +42,29 @@
 /// Silence of another registry after which it may have missed changes of targets. It sends a hello every 500 ms.
 const RESYNC_AFTER_SILENCE_MS: u64 = 1_200;
 
-/// Delays after the end of the silence at which all targets are sent. A link to a registry that was away may still be
+/// Delays after the end of the silence at which the changes are sent. A link to a registry that was away may still be
 /// about to reconnect at the first time, and drop the message.
 const RESYNC_DELAYS_MS: [u64; 2] = [500, 2_500];
 
+/// Time before the silence from which on changes are sent. They may have been lost with the link.
+const RESYNC_MARGIN_MS: u64 = 1_000;
+
 /// Number of recent configurations kept for sending deltas to gateways.
 const MAX_RECENT_CONFIGS: usize = 8;
 
 /// Delay before reopening the data folder after a failure.
 const REOPEN_DELAY_MS: u64 = 300;
 
+/// Changes of targets that are to be sent to a registry that was silent.
+#[derive(Debug)]
+struct TargetResync {
+    address: SocketAddr,
+    due_ms: u64,
+
+    /// Time from which on the registry may have missed changes.
+    since_ms: u64,
+}
+
 /// State of one registry.
 #[derive(Debug)]
 pub(crate) struct Node {
@@ -72,8 +85,7 @@
 
     gateways: GatewayLinks,
 
-    /// Registries to which all targets are to be sent, with the due time.
-    target_resyncs: Vec<(SocketAddr, u64)>,
+    target_resyncs: Vec<TargetResync>,
 
     /// Gateways reported by other registries, by registry, with the arrival time.
     remote_gateways: HashMap<SocketAddr, (Vec<GatewayInfo>, u64)>,
@@ -364,19 +376,22 @@
         self.advance();
     }
 
-    /// Sends all targets to the registries that were silent: while they were, they have missed the changes.
+    /// Sends the registries that were silent the changes that they have missed. Unchanged records are left out, since a
+    /// registry takes those with a newer sequence for a sign of life of the target.
     fn send_target_resyncs(&mut self, now_ms: u64) {
-        let is_due = |(_, due_ms): &(SocketAddr, u64)| *due_ms <= now_ms;
-        if !self.target_resyncs.iter().any(is_due) {
-            return;
-        }
-        let (due, later) = self.target_resyncs.drain(..).partition::<Vec<_>, _>(is_due);
+        let (due, later) = self
+            .target_resyncs
+            .drain(..)
+            .partition::<Vec<_>, _>(|resync: &TargetResync| resync.due_ms <= now_ms);
         self.target_resyncs = later;
-        let records: Vec<TargetRecord> =
-            self.targets.iter().map(|(record, _)| record.clone()).collect();
-        for (address, _) in due {
+        for TargetResync { address, since_ms, .. } in due {
+            let records: Vec<TargetRecord> =
+                self.targets.changes_since(since_ms).cloned().collect();
+            if records.is_empty() {
+                continue;
+            }
             tracing::info!(event = "targets_resent", peer = %address, targets = records.len());
-            self.peers.send(address, PeerMessage::Targets(records.clone()));
+            self.peers.send(address, PeerMessage::Targets(records));
         }
     }
 
@@ -450,12 +465,21 @@
             return;
         }
         let known = self.hellos.get(&hello.address);
-        let was_silent =
-            known.is_none_or(|(_, received_ms)| received_ms + RESYNC_AFTER_SILENCE_MS < now_ms);
-        if was_silent {
+        let last_hello_ms = known.map(|&(_, received_ms)| received_ms);
+        if last_hello_ms.is_none_or(|at_ms| at_ms + RESYNC_AFTER_SILENCE_MS < now_ms) {
             let address = hello.address;
-            self.target_resyncs
-                .extend(RESYNC_DELAYS_MS.map(|delay_ms| (address, now_ms + delay_ms)));
+            let since_ms = match last_hello_ms {
+                Some(at_ms) => at_ms.saturating_sub(RESYNC_MARGIN_MS),
+                // It was away for longer than hellos are kept.
+                None if now_ms > gossip::HELLO_EXPIRY_MS => 0,
+                // This registry has just started, and knows no changes that the other one has missed.
+                None => now_ms,
+            };
+            self.target_resyncs.extend(RESYNC_DELAYS_MS.map(|delay_ms| TargetResync {
+                address,
+                due_ms: now_ms + delay_ms,
+                since_ms,
+            }));
         }
         if known.map(|(known, _)| known) != Some(&hello) {
             tracing::info!(
--- a/crates/mulberry-registry/src/node/gossip.rs
+++ b/crates/mulberry-registry/src/node/gossip.rs
@@ -9,7 +9,7 @@
 use crate::peer_message::{PeerHello, PeerMessage};
 
 /// Age after which a hello is discarded.
-const HELLO_EXPIRY_MS: u64 = 30_000;
+pub(super) const HELLO_EXPIRY_MS: u64 = 30_000;
 
 /// Time without an announcement after which a target is removed.
 const TARGET_EXPIRY_MS: u64 = 60_000;
--- a/crates/mulberry-registry/tests/group.rs
+++ b/crates/mulberry-registry/tests/group.rs
@@ -719,6 +719,35 @@
     link.read_until_target(|record| record.started_ms == 2);
 }
 
+/// Guards against a dead target that counts as alive again, because registries sent its record to one that was away.
+#[test]
+fn a_target_that_nobody_heard_from_is_not_confirmed_to_a_registry_that_was_away() {
+    let mut group = Group::form("resync-silent", 91, &[1, 2, 3]);
+    group.request_until_ok(1, "PUT", "/config", "1 a");
+    group.request_until_ok(1, "PUT", "/target", "dead");
+    group.request_until_ok(1, "PUT", "/target", "changed");
+    std::thread::sleep(Duration::from_millis(2_500));
+    group.stop(3);
+    group.request_until_ok(1, "PUT", "/second-start", "changed");
+    std::thread::sleep(Duration::from_secs(2));
+    group.start(3, false);
+    GatewayLink::open(&group, 3).read_until_target(|record| record.started_ms == 2);
+    let mut link = GatewayLink::open(&group, 3);
+    loop {
+        match link.read() {
+            RegistryMessage::Targets(records) => {
+                assert!(records.iter().all(|record| &*record.id != "dead"), "{records:?}");
+            }
+            RegistryMessage::RestoredTargets(records) => {
+                let ids: Vec<&str> = records.iter().map(|record| &*record.id).collect();
+                assert_eq!(ids, ["dead"]);
+                return;
+            }
+            _ => {}
+        }
+    }
+}
+
 #[test]
 fn a_quarantined_part_is_told_to_new_gateways_and_kept_over_a_restart() {
     let mut group = Group::form("parts", 81, &[1]);
