Reserve the addresses of the fleets of gateway tests

Tests of mulberry-gateway took their loopback addresses from the process id modulo 200, with fixed ports. When two test processes with equal remainders ran at the same time, the second could not bind in the threads of its instances, and its requests went to the gateways of the first: streams that did not resume, requests that reached no target, statuses 502.

The logs of the runs that failed first are gone, so that it was the cause then is likely but not shown.

Each fleet now reserves its address by a listener and takes the next network if it is in use.

--- a/crates/mulberry-gateway/tests/common/mod.rs
+++ b/crates/mulberry-gateway/tests/common/mod.rs
@@ -30,6 +30,12 @@
 /// Maximum wait for a condition on a busy machine.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Number of networks from which addresses of fleets are taken.
+const NETWORKS: u32 = 200;
+
+/// Port whose listener reserves an address for a fleet.
+const RESERVATION_PORT: u16 = 7_199;
+
 /// Header names without a prefix.
 #[derive(Debug)]
 struct PlainDialect;
@@ -153,11 +159,18 @@
     }
 }
 
-/// Returns a loopback address used by this fleet alone, so that its ports cannot collide with other tests.
-fn unique_ip() -> [u8; 4] {
+/// Returns a loopback address used by this fleet alone, so that its ports cannot collide with other tests, and the
+/// listener that reserves it among the test processes that run at the same time.
+fn reserve_ip() -> ([u8; 4], TcpListener) {
     static FLEETS: AtomicU8 = AtomicU8::new(1);
-    let process = std::process::id() % 200;
-    [127, 20 + process as u8, FLEETS.fetch_add(1, Ordering::Relaxed), 1]
+    let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
+    for network in (0..NETWORKS).map(|offset| (std::process::id() + offset) % NETWORKS) {
+        let ip = [127, 20 + network as u8, fleet, 1];
+        if let Ok(reservation) = TcpListener::bind(SocketAddr::from((ip, RESERVATION_PORT))) {
+            return (ip, reservation);
+        }
+    }
+    panic!("all addresses are in use");
 }
 
 fn start_gateway(ip: [u8; 4], registry: SocketAddr) -> RunningInstance {
@@ -185,17 +198,18 @@
     pub callers: SocketAddr,
     link: TcpStream,
     _gateway: RunningInstance,
+    _reservation: TcpListener,
 }
 
 impl ScriptedGateway {
     pub fn start() -> ScriptedGateway {
-        let ip = unique_ip();
+        let (ip, reservation) = reserve_ip();
         let listener = TcpListener::bind(SocketAddr::from((ip, 7_201))).expect("binds");
         let gateway = start_gateway(ip, listener.local_addr().expect("bound"));
         let (link, _) = listener.accept().expect("the gateway connects");
         let callers = SocketAddr::from((ip, 7_300));
         wait_until("the port is open", || TcpStream::connect(callers).is_ok());
-        ScriptedGateway { callers, link, _gateway: gateway }
+        ScriptedGateway { callers, link, _gateway: gateway, _reservation: reservation }
     }
 
     /// Address of the registry.
@@ -219,6 +233,7 @@
     gateway: RunningInstance,
     _registry: RunningInstance,
     folder: PathBuf,
+    _reservation: TcpListener,
 }
 
 pub fn route(prefix: &str, kind: RouteKind) -> Route {
@@ -279,7 +294,7 @@
 
 impl Fleet {
     pub fn start(name: &str) -> Fleet {
-        let ip = unique_ip();
+        let (ip, reservation) = reserve_ip();
         let at = |port: u16| SocketAddr::from((ip, port));
         let folder =
             std::env::temp_dir().join(format!("mulberry-gateway-{name}-{}", std::process::id()));
@@ -314,6 +329,7 @@
             gateway,
             _registry: registry,
             folder,
+            _reservation: reservation,
         }
     }
 
