Move what registries send to those that were silent to a file of its own

node.rs keeps the state and the dispatch of events; when and what is sent again is decided in node/target_resync.rs.

--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -7,6 +7,7 @@
 mod parts;
 mod replica;
 mod requests;
+mod target_resync;
 mod targets;
 
 use std::cell::RefCell;
@@ -17,9 +18,7 @@
 use std::time::Instant;
 
 use mulberry_consensus::{DurableState, MemberId, Payload, Raft, RaftMessage, Role};
-use mulberry_directory::{
-    GatewayInfo, GatewayList, RegistryMessage, TargetRecord, TargetState, TargetTable,
-};
+use mulberry_directory::{GatewayInfo, GatewayList, RegistryMessage, TargetState, TargetTable};
 use mulberry_quarantine::{CrashCorrelator, PartTable};
 use mulberry_routes::{ConfigDelta, RoutingConfig};
 use tokio::sync::oneshot;
@@ -27,6 +26,7 @@
 pub(crate) use self::departures::DepartureRequester;
 use self::departures::PendingDeparture;
 use self::replica::{ProposalWaiter, ReadWaiter, Replica, raft_settings, sorted_ids};
+use self::target_resync::TargetResync;
 use crate::disk_thread::{DiskEvent, DiskJob, DiskThread};
 use crate::gateway_links::GatewayLinks;
 use crate::pause_detector::PauseDetector;
@@ -39,32 +39,12 @@
 /// Interval between gossip rounds with the other registries and the gateways.
 const GOSSIP_INTERVAL_MS: u64 = 700;
 
-/// Silence of another registry after which it may have missed changes of targets. It sends a hello every 500 ms.
-const RESYNC_AFTER_SILENCE_MS: u64 = 1_200;
-
-/// Delays after the end of the silence at which the changes are sent. A link to a registry that was away may still be
-/// about to reconnect at the first time, and drop the message.
-const RESYNC_DELAYS_MS: [u64; 2] = [500, 2_500];
-
-/// Time before the silence from which on changes are sent. They may have been lost with the link.
-const RESYNC_MARGIN_MS: u64 = 1_000;
-
 /// Number of recent configurations kept for sending deltas to gateways.
 const MAX_RECENT_CONFIGS: usize = 8;
 
 /// Delay before reopening the data folder after a failure.
 const REOPEN_DELAY_MS: u64 = 300;
 
-/// Changes of targets that are to be sent to a registry that was silent.
-#[derive(Debug)]
-struct TargetResync {
-    address: SocketAddr,
-    due_ms: u64,
-
-    /// Time from which on the registry may have missed changes.
-    since_ms: u64,
-}
-
 /// State of one registry.
 #[derive(Debug)]
 pub(crate) struct Node {
@@ -376,25 +356,6 @@
         self.advance();
     }
 
-    /// Sends the registries that were silent the changes that they have missed. Unchanged records are left out, since a
-    /// registry takes those with a newer sequence for a sign of life of the target.
-    fn send_target_resyncs(&mut self, now_ms: u64) {
-        let (due, later) = self
-            .target_resyncs
-            .drain(..)
-            .partition::<Vec<_>, _>(|resync: &TargetResync| resync.due_ms <= now_ms);
-        self.target_resyncs = later;
-        for TargetResync { address, since_ms, .. } in due {
-            let records: Vec<TargetRecord> =
-                self.targets.changes_since(since_ms).cloned().collect();
-            if records.is_empty() {
-                continue;
-            }
-            tracing::info!(event = "targets_resent", peer = %address, targets = records.len());
-            self.peers.send(address, PeerMessage::Targets(records));
-        }
-    }
-
     /// Handles a timer tick.
     pub(crate) fn tick(&mut self) {
         self.pauses.record_activity();
@@ -464,23 +425,8 @@
         if hello.address == self.settings.link_address {
             return;
         }
+        self.plan_target_resyncs(now_ms, hello.address);
         let known = self.hellos.get(&hello.address);
-        let last_hello_ms = known.map(|&(_, received_ms)| received_ms);
-        if last_hello_ms.is_none_or(|at_ms| at_ms + RESYNC_AFTER_SILENCE_MS < now_ms) {
-            let address = hello.address;
-            let since_ms = match last_hello_ms {
-                Some(at_ms) => at_ms.saturating_sub(RESYNC_MARGIN_MS),
-                // It was away for longer than hellos are kept.
-                None if now_ms > gossip::HELLO_EXPIRY_MS => 0,
-                // This registry has just started, and knows no changes that the other one has missed.
-                None => now_ms,
-            };
-            self.target_resyncs.extend(RESYNC_DELAYS_MS.map(|delay_ms| TargetResync {
-                address,
-                due_ms: now_ms + delay_ms,
-                since_ms,
-            }));
-        }
         if known.map(|(known, _)| known) != Some(&hello) {
             tracing::info!(
                 event = "peer_known",
