Log why a registry has no group or no leader

An operator could not tell a registry that no leader has admitted from one whose group has lost its leader: both answer 503, and neither writes a line.

A registry now writes not_admitted with its seeds, or no_leader with the addresses of the voters, every 5 s, both with the registries that it has heard from lately, and mulberry_registry_is_member is 0 outside a group.

--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -5,6 +5,7 @@
 mod gateways;
 mod gossip;
 mod group;
+mod group_status;
 mod parts;
 mod replica;
 mod requests;
@@ -29,6 +30,7 @@
 use self::addresses::recovered_addresses;
 pub(crate) use self::departures::DepartureRequester;
 use self::departures::PendingDeparture;
+use self::group_status::GroupReport;
 use self::replica::{ProposalWaiter, ReadWaiter, Replica, raft_settings, sorted_ids};
 use self::target_resync::TargetResync;
 use crate::disk_thread::{DiskEvent, DiskJob, DiskThread};
@@ -142,6 +144,7 @@
     /// When this registry became the leader; `None` if it is not.
     leader_since_ms: Option<u64>,
 
+    group_report: GroupReport,
     is_stopping: bool,
 }
 
@@ -199,6 +202,7 @@
             gossip_due_ms: 0,
             membership_due_ms: 0,
             leader_since_ms: None,
+            group_report: GroupReport::default(),
             is_stopping: false,
         }
     }
@@ -372,6 +376,7 @@
             self.gossip(now_ms);
         }
         self.flush_gateways(now_ms);
+        self.report_group_status(now_ms);
     }
 
     fn open_replica(&mut self, member: MemberId, durable: DurableState) {
--- a/crates/mulberry-registry/src/registry_metrics.rs
+++ b/crates/mulberry-registry/src/registry_metrics.rs
@@ -30,6 +30,7 @@
     pub sync_seconds: Histogram,
     pub disk_failures: Counter,
     pub is_leader: Gauge,
+    pub is_member: Gauge,
     pub voters: Gauge,
     pub learners: Gauge,
     pub config_version: Gauge,
@@ -49,6 +50,7 @@
             sync_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
             disk_failures: Counter::default(),
             is_leader: Gauge::default(),
+            is_member: Gauge::default(),
             voters: Gauge::default(),
             learners: Gauge::default(),
             config_version: Gauge::default(),
@@ -97,6 +99,11 @@
             self.disk_failures.clone(),
         );
         r.register("mulberry_registry_is_leader", "1 on the leader", self.is_leader.clone());
+        r.register(
+            "mulberry_registry_is_member",
+            "1 on a member of the group, 0 where no leader has admitted the registry",
+            self.is_member.clone(),
+        );
         r.register("mulberry_registry_voters", "Voters of the group", self.voters.clone());
         r.register("mulberry_registry_learners", "Learners of the group", self.learners.clone());
         r.register(
