--- a/crates/mulberry-registry/tests/group.rs
+++ b/crates/mulberry-registry/tests/group.rs
@@ -375,6 +375,20 @@
     assert_eq!(group.request_until_ok(3, "GET", "/config", ""), "3 c");
 }
 
+/// Guards against replacements that no leader admits, so that a group loses its majority one by one.
+#[test]
+fn a_registry_joins_through_a_seed_that_is_not_the_leader() {
+    let mut group = Group::form("introduced", 84, &[1, 2, 3]);
+    group.request_until_ok(1, "PUT", "/config", "1 a");
+    for (joining, seed) in [(4, 1), (5, 2), (6, 3)] {
+        group.seeds = vec![seed];
+        group.start(joining, false);
+    }
+    for joining in [4, 5, 6] {
+        assert_eq!(group.request_until_ok(joining, "GET", "/config", ""), "1 a");
+    }
+}
+
 #[test]
 fn a_member_with_an_empty_disk_forms_no_group_of_its_own() {
     let mut group = Group::form("alone", 76, &[1, 2, 3]);
