Name the members of a group to registries that are none of them

Cause: a registry that joins says hello to its seeds only, and only the leader admits members. When the leader was not among the seeds, it never heard from the registry, which waited outside the group for good. A silent voter of a group of odd size stays until a replacement is promoted, so with each registry that was replaced in this way the group lost a voter, and with the third one its majority. The class: who is found depends on whom the settings name, since knowledge of other registries is not passed on.

Change: a hello to a registry that is no member carries the addresses of the members, and the receiver says hello to each of them, so the leader hears from it. The list comes with hellos that are sent anyway, and not to members. A hello of an older version has no list: beside older registries only, joining works as before.

--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -73,6 +73,9 @@
     /// Newest hello from each address, with its arrival time.
     hellos: BTreeMap<SocketAddr, (PeerHello, u64)>,
 
+    /// Members of a group that another registry has named to this one, with the arrival time.
+    introduced: BTreeMap<SocketAddr, u64>,
+
     gateways: GatewayLinks,
 
     target_resyncs: Vec<TargetResync>,
@@ -171,6 +174,7 @@
             sent_bytes,
             sent_report_due_ms: 0,
             hellos: BTreeMap::new(),
+            introduced: BTreeMap::new(),
             gateways: GatewayLinks::default(),
             target_resyncs: Vec::new(),
             remote_gateways: HashMap::new(),
@@ -420,24 +424,6 @@
         }
     }
 
-    fn handle_hello(&mut self, now_ms: u64, hello: PeerHello) {
-        if hello.address == self.settings.link_address {
-            return;
-        }
-        self.plan_target_resyncs(now_ms, hello.address);
-        let known = self.hellos.get(&hello.address);
-        if known.map(|(known, _)| known) != Some(&hello) {
-            tracing::info!(
-                event = "peer_known",
-                peer = %hello.address,
-                member = %MemberId(hello.member),
-                has_group = hello.has_group
-            );
-            self.hello_due_ms = 0;
-        }
-        self.hellos.insert(hello.address, (hello, now_ms));
-    }
-
     /// Advances the replica and sends its messages and replies; called after each event.
     fn advance(&mut self) {
         let now_ms = self.now_ms();
--- a/crates/mulberry-registry/src/node/addresses.rs
+++ b/crates/mulberry-registry/src/node/addresses.rs
@@ -21,19 +21,25 @@
     pub(super) fn known_peers(&self) -> Vec<SocketAddr> {
         let mut peers: BTreeSet<SocketAddr> = self.settings.seeds.iter().copied().collect();
         peers.extend(self.hellos.keys());
-        if let Some(replica) = &self.replica {
-            let members: Vec<u64> = replica.raft.members().all().map(|member| member.0).collect();
-            let addresses = self.member_addresses().iter();
-            peers.extend(
-                addresses
-                    .filter(|(member, _)| members.contains(member))
-                    .map(|(_, address)| address),
-            );
-        }
+        peers.extend(self.introduced.keys());
+        peers.extend(self.current_member_addresses());
         peers.remove(&self.settings.link_address);
         peers.into_iter().collect()
     }
 
+    /// Addresses of the members of the group, of those that are known.
+    pub(super) fn current_member_addresses(&self) -> Vec<SocketAddr> {
+        let Some(replica) = &self.replica else { return Vec::new() };
+        replica.raft.members().all().filter_map(|member| self.address_of(member)).collect()
+    }
+
+    /// Whether the registry that says hello from `address` is a member of the group.
+    pub(super) fn is_member_at(&self, address: SocketAddr) -> bool {
+        let hello = self.hellos.get(&address).map(|(hello, _)| MemberId(hello.member));
+        let members = self.replica.as_ref().map(|replica| replica.raft.members());
+        hello.zip(members).is_some_and(|(member, members)| members.contains(member))
+    }
+
     pub(super) fn address_of(&self, member: MemberId) -> Option<SocketAddr> {
         let hello = self.hellos.values().find(|(hello, _)| hello.member == member.0);
         hello
--- a/crates/mulberry-registry/src/node/gossip.rs
+++ b/crates/mulberry-registry/src/node/gossip.rs
@@ -53,15 +53,43 @@
             initial_members: replica.initial_members.clone(),
             stores_departures: true,
             knows_checksums: true,
+            members: Vec::new(),
         };
         self.hellos.retain(|_, (_, received_ms)| *received_ms + HELLO_EXPIRY_MS > now_ms);
+        self.introduced.retain(|_, named_ms| *named_ms + HELLO_EXPIRY_MS > now_ms);
         let peers = self.known_peers();
         self.peers.retain(&peers);
+        let members = self.current_member_addresses();
         for address in peers {
-            self.peers.send(address, PeerMessage::Hello(hello.clone()));
+            // The leader admits a registry once it has heard from it, and the registry may know only this one.
+            let members = if self.is_member_at(address) { Vec::new() } else { members.clone() };
+            self.peers.send(address, PeerMessage::Hello(PeerHello { members, ..hello.clone() }));
         }
     }
 
+    pub(super) fn handle_hello(&mut self, now_ms: u64, mut hello: PeerHello) {
+        if hello.address == self.settings.link_address {
+            return;
+        }
+        self.plan_target_resyncs(now_ms, hello.address);
+        for address in std::mem::take(&mut hello.members) {
+            if self.introduced.insert(address, now_ms).is_none() {
+                self.hello_due_ms = 0;
+            }
+        }
+        let known = self.hellos.get(&hello.address);
+        if known.map(|(known, _)| known) != Some(&hello) {
+            tracing::info!(
+                event = "peer_known",
+                peer = %hello.address,
+                member = %MemberId(hello.member),
+                has_group = hello.has_group
+            );
+            self.hello_due_ms = 0;
+        }
+        self.hellos.insert(hello.address, (hello, now_ms));
+    }
+
     pub(super) fn gossip(&mut self, now_ms: u64) {
         self.drop_cancelled_requests();
         self.expire_parts();
--- a/crates/mulberry-registry/src/peer_message.rs
+++ b/crates/mulberry-registry/src/peer_message.rs
@@ -122,4 +122,8 @@
     /// Whether the registry understands [`PeerMessage::GatewaysUnchanged`]. Decodes as false if it is of an older
     /// version.
     pub knows_checksums: bool,
+
+    /// Addresses of the members of the sender's group, in hellos to registries that are none of them. Decodes as empty
+    /// if the sender is of an older version.
+    pub members: Vec<SocketAddr>,
 }
--- a/crates/mulberry-registry/tests/encoding.rs
+++ b/crates/mulberry-registry/tests/encoding.rs
@@ -86,6 +86,33 @@
     assert!(matches!(decoded, Ok(PeerMessage::Propose { last_zone_change: None, .. })));
 }
 
+/// A registry of an older version does not send the last field of a hello.
+#[test]
+fn a_hello_of_an_older_version_names_no_members() {
+    let hello = PeerHello {
+        member: 1,
+        address: "127.0.0.1:9003".parse().expect("an address"),
+        has_group: true,
+        initial_members: vec![1, 300],
+        stores_departures: true,
+        knows_checksums: true,
+        members: Vec::new(),
+    };
+    let mut bytes = Vec::new();
+    encode_frame(&PeerMessage::Hello(hello), &mut bytes).expect("encodes");
+    let length = (bytes.len() - 4 - 1) as u32;
+    bytes.truncate(bytes.len() - 1);
+    bytes[..4].copy_from_slice(&length.to_le_bytes());
+    let decoded = tokio::runtime::Builder::new_current_thread()
+        .build()
+        .expect("a runtime")
+        .block_on(async { read_frame::<PeerMessage>(&mut &bytes[..], &mut BytesMut::new()).await });
+    assert!(matches!(
+        decoded,
+        Ok(PeerMessage::Hello(PeerHello { knows_checksums: true, members, .. })) if members.is_empty()
+    ));
+}
+
 /// Guards against a change in the order of fields or variants of messages between registries.
 #[test]
 fn messages_of_peers_keep_their_bytes() {
@@ -105,6 +132,7 @@
             initial_members: vec![1, 300],
             stores_departures: true,
             knows_checksums: true,
+            members: vec!["127.0.0.1:9004".parse().expect("an address")],
         }),
         PeerMessage::Raft {
             from: 1,
