Acknowledge departures by copies on voters only

What engines would see: a departure is acknowledged although most of the group has not stored it, and the engine may get requests again once the few that have are lost.

Cause: a registry that belongs to no group took a majority of the registries that it knew. Two registries outside the group and one voter of three are such a majority.

Change: outside a group nothing is acknowledged; the caller gets 503, or the acknowledgement once the registry is admitted. While a group forms for the first time, engines that leave get 503 for a moment as well.

--- a/crates/mulberry-registry/src/node/departures.rs
+++ b/crates/mulberry-registry/src/node/departures.rs
@@ -117,7 +117,7 @@
             self.follow_newer_start(request_id, record);
             return;
         }
-        let required = self.required_departure_copies();
+        let Some(required) = self.required_departure_copies() else { return };
         let counts = self.counts_for_departures(from);
         let Some(pending) = self.pending_departures.get_mut(&request_id) else { return };
         let is_same =
@@ -165,11 +165,11 @@
     }
 
     /// Number of registries that must have stored a departure: a majority of the voters, or all that can store
-    /// departures while fewer can, during an upgrade.
-    fn required_departure_copies(&self) -> usize {
+    /// departures while fewer can, during an upgrade. `None` outside a group, where the voters are not known.
+    fn required_departure_copies(&self) -> Option<usize> {
         let voters = self.replica.as_ref().map_or(&[][..], |r| &r.raft.members().voters);
         if voters.is_empty() {
-            return self.registries().len() / 2 + 1;
+            return None;
         }
         let is_able = |voter: &MemberId| {
             self.hellos
@@ -177,12 +177,12 @@
                 .all(|(hello, _)| hello.member != voter.0 || hello.stores_departures)
         };
         let able = voters.iter().filter(|voter| is_able(voter)).count();
-        (voters.len() / 2 + 1).min(able).max(1)
+        Some((voters.len() / 2 + 1).min(able).max(1))
     }
 
     fn counts_for_departures(&self, member: u64) -> bool {
         let voters = self.replica.as_ref().map_or(&[][..], |r| &r.raft.members().voters);
-        voters.is_empty() || voters.contains(&MemberId(member))
+        voters.contains(&MemberId(member))
     }
 
     /// Whether the registry at `address` understands [`PeerMessage::StoreDeparture`].
