Tell when a gateway has lost the path to all targets of a service

A refusal of a home did not say whether its engines had failed or only the reports about them, and no line said that a gateway reaches nothing at all. A gateway now probes further targets when two in a row, or one in silence, could not be reached, and writes path_lost and path_back; a home writes each failure that is reported to it. No decision depends on it yet.

--- a/crates/mulberry-gateway/src/attempt.rs
+++ b/crates/mulberry-gateway/src/attempt.rs
@@ -13,7 +13,9 @@
 
 use tokio::net::TcpStream;
 
+use crate::PathFailure;
 use crate::dialect::ResponseFields;
+use crate::path_probes::record_contact;
 use crate::response_memory::{Body, ResponseMemory};
 use crate::settings::TARGET_ACK_TIMEOUT;
 use crate::shared::Shared;
@@ -53,8 +55,8 @@
 /// Why an attempt got no usable response.
 #[derive(Debug)]
 pub(crate) enum SendError {
-    /// No byte was sent, so the request has not run.
-    NotSent(String),
+    /// The connection failed before a byte was sent, so the request has not run.
+    NotSent(io::Error),
 
     /// The target reported that it did not run the request.
     NotRun { status: u16, fields: ResponseFields },
@@ -62,19 +64,21 @@
     /// The request may have run.
     Unknown(String),
 
+    /// The request may have run, and the target's kernel has stopped answering.
+    Unreachable(String),
+
     /// The request may have run, and the connection was closed or reset.
     Disconnected(String),
 }
 
 impl From<ReadError> for SendError {
     fn from(error: ReadError) -> SendError {
-        // A timeout means that the peer is unreachable, not that it disconnected.
         let is_timeout =
             matches!(&error, ReadError::Io(error) if error.kind() == io::ErrorKind::TimedOut);
-        if error.is_disconnect() && !is_timeout {
-            SendError::Disconnected(error.to_string())
-        } else {
-            SendError::Unknown(error.to_string())
+        match error.is_disconnect() {
+            true if is_timeout => SendError::Unreachable(error.to_string()),
+            true => SendError::Disconnected(error.to_string()),
+            false => SendError::Unknown(error.to_string()),
         }
     }
 }
@@ -105,6 +109,20 @@
     Ok(stream)
 }
 
+impl SendError {
+    /// How the connection failed, if it did.
+    pub(crate) fn path_failure(&self) -> Option<PathFailure> {
+        match self {
+            SendError::NotSent(error) if error.kind() == io::ErrorKind::TimedOut => {
+                Some(PathFailure::Silent)
+            }
+            SendError::Unreachable(_) => Some(PathFailure::Silent),
+            SendError::NotSent(_) | SendError::Disconnected(_) => Some(PathFailure::Rejected),
+            SendError::NotRun { .. } | SendError::Unknown(_) => None,
+        }
+    }
+}
+
 impl Attempt<'_> {
     /// Sends the request and waits for the response head.
     pub(crate) async fn send(&self, shared: &Shared) -> Result<TargetResponse, SendError> {
@@ -115,7 +133,8 @@
             None => {
                 shared.metrics.target_connections.inc();
                 let stream = connect_target(self.address, CONNECT_TIMEOUT).await;
-                let stream = stream.map_err(|error| SendError::NotSent(error.to_string()))?;
+                let stream = stream.map_err(SendError::NotSent)?;
+                record_contact(shared, self.target_id);
                 Http1Connection::new(stream)
             }
         };
@@ -263,9 +282,11 @@
 impl fmt::Display for SendError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            SendError::NotSent(reason) => write!(f, "not sent: {reason}"),
+            SendError::NotSent(error) => write!(f, "not sent: {error}"),
             SendError::NotRun { status, .. } => write!(f, "not run: status {status}"),
-            SendError::Unknown(reason) | SendError::Disconnected(reason) => {
+            SendError::Unknown(reason)
+            | SendError::Unreachable(reason)
+            | SendError::Disconnected(reason) => {
                 write!(f, "may have run: {reason}")
             }
         }
--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -30,6 +30,7 @@
 use crate::hex_list::HexList;
 use crate::memory_reservation::MemoryReservation;
 use crate::metrics::{AttemptLabels, LengthLabels, RequestLabels, prompt_class};
+use crate::path_probes;
 use crate::placed_job::PlacedJob;
 use crate::response_memory::Body;
 use crate::shared::Shared;
@@ -187,7 +188,9 @@
             SendError::NotRun { status: 503, .. } => RequestEnd::Refused,
             SendError::NotSent(_) | SendError::NotRun { .. } => RequestEnd::Unknown,
             _ if Instant::now() >= self.attempt_deadline => RequestEnd::TimedOut,
-            SendError::Unknown(_) | SendError::Disconnected(_) => RequestEnd::Failed,
+            SendError::Unknown(_) | SendError::Unreachable(_) | SendError::Disconnected(_) => {
+                RequestEnd::Failed
+            }
         };
         self.end_load(end);
     }
@@ -494,6 +497,9 @@
         if matches!(error, SendError::Disconnected(_)) && progress != ResponseProgress::Survived {
             self.check_for_crash(target_id);
         }
+        if let Some(failure) = error.path_failure() {
+            path_probes::record_failure(&self.shared, target_id, failure);
+        }
         self.excluded.push(target_id.clone());
         let outcome = match error {
             SendError::NotSent(_) => {
@@ -514,7 +520,7 @@
                 }
                 Outcome::Rejected
             }
-            SendError::Unknown(_) | SendError::Disconnected(_) => {
+            SendError::Unknown(_) | SendError::Unreachable(_) | SendError::Disconnected(_) => {
                 self.may_have_run = true;
                 self.shared.health.borrow_mut().failed(now_ms, target_id);
                 match error {
@@ -529,7 +535,9 @@
         let label = match error {
             SendError::NotSent(_) => "not_sent",
             SendError::NotRun { .. } => "not_run",
-            SendError::Unknown(_) | SendError::Disconnected(_) => "unknown",
+            SendError::Unknown(_) | SendError::Unreachable(_) | SendError::Disconnected(_) => {
+                "unknown"
+            }
         };
         self.count_attempt(label);
         tracing::info!(
--- a/crates/mulberry-gateway/src/metrics.rs
+++ b/crates/mulberry-gateway/src/metrics.rs
@@ -97,6 +97,7 @@
     pub usable_targets: Gauge,
     pub config_age_seconds: Gauge<f64, AtomicU64>,
     pub retry_budget_left: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
+    pub lost_services: Gauge,
     pub crashed_requests: Counter,
     pub quarantined_parts: Gauge,
     pub quarantine_refusals: Counter,
@@ -131,6 +132,7 @@
             usable_targets: Gauge::default(),
             config_age_seconds: Gauge::default(),
             retry_budget_left: Family::default(),
+            lost_services: Gauge::default(),
             crashed_requests: Counter::default(),
             quarantined_parts: Gauge::default(),
             quarantine_refusals: Counter::default(),
@@ -209,6 +211,11 @@
             "Further sends that this gateway may make now",
             self.retry_budget_left.clone(),
         );
+        r.register(
+            "mulberry_gateway_lost_services",
+            "Services of which this gateway reaches no target",
+            self.lost_services.clone(),
+        );
         r.register(
             "mulberry_gateway_crashed_requests",
             "Requests that were waiting at an engine that crashed",
--- a/crates/mulberry-gateway/src/placement.rs
+++ b/crates/mulberry-gateway/src/placement.rs
@@ -610,6 +610,15 @@
                 self.with_existing_coordinator(&group, |coordinator| coordinator.first_event(job));
             }
             HomeMessage::Finish { group, job, outcome } => {
+                if matches!(outcome, Outcome::Failed | Outcome::Disconnected) {
+                    tracing::info!(
+                        event = "failure_reported",
+                        group = %group,
+                        gateway = %from,
+                        job = job.number,
+                        outcome = ?outcome
+                    );
+                }
                 self.with_existing_coordinator(&group, |coordinator| {
                     coordinator.finish(now_ms, job, outcome);
                 });
--- a/crates/mulberry-gateway/src/shared.rs
+++ b/crates/mulberry-gateway/src/shared.rs
@@ -22,7 +22,9 @@
 use crate::placement::Placer;
 use crate::response_memory::ResponseMemory;
 use crate::target_pool::TargetPool;
-use crate::{BudgetShare, Dialect, FleetView, GatewaySettings, RetryBudget, TargetHealth};
+use crate::{
+    BudgetShare, Dialect, FleetView, GatewaySettings, Reachability, RetryBudget, TargetHealth,
+};
 
 /// Time to wait for a requested configuration before it is requested from another registry.
 const CONFIG_REQUEST_TIMEOUT_MS: u64 = 250;
@@ -35,6 +37,7 @@
     pub incarnation: u64,
     pub fleet: RefCell<FleetView>,
     pub health: RefCell<TargetHealth>,
+    pub reachability: RefCell<Reachability>,
     pub pool: TargetPool,
     pub response_memory: ResponseMemory,
     pub held_memory: Rc<HeldMemory>,
@@ -107,6 +110,7 @@
             incarnation,
             fleet: RefCell::default(),
             health: RefCell::default(),
+            reachability: RefCell::default(),
             part_guard: RefCell::default(),
             crash_detector: CrashDetector::default(),
             pool: TargetPool::default(),
@@ -230,7 +234,9 @@
         );
         self.config_applied_ms.set(self.now_ms());
         self.metrics.config_version.set(i64::try_from(config.version).unwrap_or(i64::MAX));
-        *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
+        let table = RouteTable::new(config);
+        self.reachability.borrow_mut().retain(|service| table.service(service).is_some());
+        *self.table.borrow_mut() = Some(Rc::new(table));
         self.refresh_engines();
     }
 
