--- a/crates/mulberry-gateway/tests/common/mod.rs
+++ b/crates/mulberry-gateway/tests/common/mod.rs
@@ -274,6 +274,11 @@
         ScriptedGateway { callers, link, _gateway: gateway, _reservation: reservation }
     }
 
+    /// Address for connections from other gateways.
+    pub fn peers(&self) -> SocketAddr {
+        SocketAddr::new(self.callers.ip(), 7_302)
+    }
+
     /// Address of the registry.
     pub fn registry(&self) -> SocketAddr {
         self.link.local_addr().expect("connected")
