Pass requests on to another gateway while no target is reached

Callers of gateways that were cut off from all engines got 503 or 502 for as long as the cut lasted, and those of the other gateways were refused as well.

Each gateway took every engine for failed by itself. It never concluded that the path was lost, had nobody to hand a request to, and told the home of each engine group of failures, which then suspended healthy engines for all gateways; refused connections were reported as crashes too.

While the path to a service is lost, or two targets could not be reached, a request now goes to another gateway over the port between gateways (TCP), once at most. That gateway serves it as its own: route, key, placement, retry budget and what is left of the time and of the attempts. It declines what it cannot send, and then the next one is asked. A request that was taken is not sent again from here. Failures of engines are not reported, and crashes only after probes, while the path is suspected.

--- a/crates/mulberry-gateway/src/attempt.rs
+++ b/crates/mulberry-gateway/src/attempt.rs
@@ -31,7 +31,7 @@
 const MIN_BODY_BYTES_PER_S: f64 = 8_000.0;
 
 /// Maximum length of a response head.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Maximum length of a body that is read and discarded so that its connection can be reused.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
@@ -123,6 +123,25 @@
     }
 }
 
+/// Sends head and body. False if the peer has responded or closed before.
+pub(crate) async fn send_request(
+    connection: &mut Http1Connection,
+    head: &RequestHead,
+    body: &[u8],
+) -> io::Result<bool> {
+    let is_copied = body.len() <= MAX_COPIED_BYTES;
+    let copied_body = if is_copied { body } else { &[] };
+    let mut bytes = Vec::with_capacity(1_024 + copied_body.len());
+    head.encode(&mut bytes);
+    bytes.extend_from_slice(copied_body);
+    let is_sent = connection.write_watching(&bytes).await?;
+    drop(bytes);
+    if is_copied || !is_sent {
+        return Ok(is_sent);
+    }
+    connection.write_watching(body).await
+}
+
 impl Attempt<'_> {
     /// Sends the request and waits for the response head.
     pub(crate) async fn send(&self, shared: &Shared) -> Result<TargetResponse, SendError> {
@@ -146,7 +165,8 @@
             let set = set_ack_timeout(connection.stream(), unanswered);
             set.map_err(ReadError::Io)?;
         }
-        let is_sent = self.send_request(&mut connection).await.map_err(ReadError::Io)?;
+        let is_sent =
+            send_request(&mut connection, self.head, self.body).await.map_err(ReadError::Io)?;
 
         let mut is_clean = is_sent;
         for _ in 0..=MAX_FOREIGN_RESPONSES {
@@ -175,33 +195,14 @@
                 continue;
             }
             let response = TargetResponse {
-                ends_with_connection: framing == Framing::UntilClose,
-                decoder: BodyDecoder::new(framing),
-                head,
-                fields,
-                connection,
                 is_clean,
+                ..TargetResponse::new(connection, head, fields, framing)
             };
             return self.check_response(shared, response).await;
         }
         Err(SendError::Unknown("too many responses to other requests on the connection".to_owned()))
     }
 
-    /// Sends head and body. False if the target has responded or closed before.
-    async fn send_request(&self, connection: &mut Http1Connection) -> io::Result<bool> {
-        let is_copied = self.body.len() <= MAX_COPIED_BYTES;
-        let copied_body = if is_copied { self.body } else { &[] };
-        let mut bytes = Vec::with_capacity(1_024 + copied_body.len());
-        self.head.encode(&mut bytes);
-        bytes.extend_from_slice(copied_body);
-        let is_sent = connection.write_watching(&bytes).await?;
-        drop(bytes);
-        if is_copied || !is_sent {
-            return Ok(is_sent);
-        }
-        connection.write_watching(self.body).await
-    }
-
     async fn check_response(
         &self,
         shared: &Shared,
@@ -231,6 +232,23 @@
 }
 
 impl TargetResponse {
+    /// The response whose head was read from a connection.
+    pub(crate) fn new(
+        connection: Http1Connection,
+        head: ResponseHead,
+        fields: ResponseFields,
+        framing: Framing,
+    ) -> TargetResponse {
+        TargetResponse {
+            ends_with_connection: framing == Framing::UntilClose,
+            decoder: BodyDecoder::new(framing),
+            head,
+            fields,
+            connection,
+            is_clean: true,
+        }
+    }
+
     /// Returns the next bytes of the body; `None` at its end.
     pub(crate) async fn next(&mut self) -> Result<Option<Vec<u8>>, ReadError> {
         if self.decoder.is_done() {
--- a/crates/mulberry-gateway/src/caller_server.rs
+++ b/crates/mulberry-gateway/src/caller_server.rs
@@ -26,7 +26,7 @@
 const IDLE_AFTER_STOP: Duration = Duration::from_millis(2_500);
 
 /// Timeout for receiving a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Time for which a connection stays open after an error response, so that the caller can read it before the reset
 /// that unread bytes cause.
@@ -155,7 +155,7 @@
 }
 
 /// Why a body was not taken.
-enum BodyRefusal {
+pub(crate) enum BodyRefusal {
     Unreadable(ReadError),
     MemoryUsedUp,
 }
@@ -167,7 +167,7 @@
 }
 
 /// Reads the body of a request, and counts it if that is on: before it comes if its length is known.
-async fn read_body(
+pub(crate) async fn read_body(
     client: &mut Http1Connection,
     memory: &Rc<HeldMemory>,
     head: &RequestHead,
--- a/crates/mulberry-gateway/src/crash_detection.rs
+++ b/crates/mulberry-gateway/src/crash_detection.rs
@@ -1,7 +1,7 @@
 //! Tells crashed engines from broken connections, and reports crashes.
 //!
 //! An engine whose process has ended refuses new connections. One that closed a connection for another reason accepts
-//! them, and a machine that is cut off does not answer.
+//! them, and a machine that is cut off does not answer. If this gateway reaches no engine at all, refusals say nothing.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -14,6 +14,7 @@
 use mulberry_http1::connect;
 use tokio::time::timeout;
 
+use crate::path_probes::is_path_at_fault;
 use crate::shared::Shared;
 
 /// Timeout for the connection that tells whether an engine has crashed.
@@ -49,9 +50,9 @@
         let shared = shared.clone();
         tokio::task::spawn_local(async move {
             let broken_at_ms = shared.now_ms();
-            if shared.crash_detector.is_confirmed(broken_at_ms, &request.engine)
-                || has_crashed(&shared, request.address).await
-            {
+            let has_crashed = shared.crash_detector.is_confirmed(broken_at_ms, &request.engine)
+                || has_crashed(&shared, request.address).await;
+            if has_crashed && !is_path_at_fault(&shared, &request.engine, broken_at_ms).await {
                 shared.crash_detector.confirm(shared.now_ms(), &request.engine);
                 shared.report_crash(broken_at_ms, &request);
             }
--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod caller_stream;
+mod pass_on;
 mod quarantine;
 mod relay;
 mod responses;
@@ -21,6 +22,7 @@
 
 use self::admission::STOPPING_RETRY_AFTER_MS;
 pub(crate) use self::admission::serve;
+pub(crate) use self::pass_on::{decline, serve_passed};
 use self::quarantine::wait_until_quarantined;
 use self::responses::{send_complete, send_error};
 use crate::attempt::{Attempt, SendError, TargetResponse};
@@ -31,6 +33,7 @@
 use crate::memory_reservation::MemoryReservation;
 use crate::metrics::{AttemptLabels, LengthLabels, RequestLabels, prompt_class};
 use crate::path_probes;
+use crate::peer_forwarding::DECLINED;
 use crate::placed_job::PlacedJob;
 use crate::response_memory::Body;
 use crate::shared::Shared;
@@ -97,6 +100,22 @@
     is_attempting: bool,
 
     excluded: Vec<Arc<str>>,
+
+    /// Targets to which the request was sent.
+    sent_to: Vec<Arc<str>>,
+
+    /// Whether a home has counted the request for the retry budget.
+    is_counted: bool,
+
+    /// Sends to targets by the gateway that has passed the request on, if one has.
+    sends_elsewhere: Option<u32>,
+
+    /// Whether other gateways have been asked to take the request.
+    has_asked_peers: bool,
+
+    /// Whether another gateway has taken the request.
+    is_passed_on: bool,
+
     last_target: Option<Arc<str>>,
 
     /// The most recent error response of a target.
@@ -242,8 +261,11 @@
             }
             Some(ForwardOutcome::Complete { head, body }) => {
                 let status = head.status;
-                let outcome =
-                    if (200..400).contains(&status) { "served" } else { "failed_at_target" };
+                let outcome = match status {
+                    200..400 => "served",
+                    503 if self.is_passed_on => "refused",
+                    _ => "failed_at_target",
+                };
                 let limit = self.answer_limit();
                 let next = send_complete(client, head, &body, keeps_alive, limit).await;
                 self.finish(outcome, status);
@@ -252,6 +274,12 @@
             Some(ForwardOutcome::Stream(live)) => {
                 self.relay(client, *live, relay, keeps_alive).await
             }
+            Some(ForwardOutcome::Error(_)) if self.can_decline() => {
+                self.finish("declined", DECLINED);
+                let reason = std::mem::take(&mut self.reason);
+                decline(client, &reason).await;
+                AfterResponse::Close
+            }
             Some(ForwardOutcome::Error(error_response)) => {
                 let outcome = if error_response.status == 503 { "refused" } else { "failed" };
                 self.finish(outcome, error_response.status);
@@ -283,8 +311,19 @@
             if let Some(refusal) = self.refuse_quarantined() {
                 return ForwardOutcome::Error(refusal);
             }
+            if self.should_pass_on()
+                && let Some(outcome) = self.pass_on(after).await
+            {
+                return outcome;
+            }
             let selected = match self.select_target().await {
                 Ok(selected) => selected,
+                Err(_) if self.unsent_attempts > 0 && self.may_pass_on() => {
+                    match self.pass_on(after).await {
+                        Some(outcome) => return outcome,
+                        None => continue,
+                    }
+                }
                 Err(error_response) => return ForwardOutcome::Error(error_response),
             };
             if let Some(refusal) = self.refuse_quarantined() {
@@ -342,6 +381,7 @@
         });
         if !matches!(sent, Err(SendError::NotSent(_))) {
             self.sent_attempts += 1;
+            self.sent_to.push(target_id.clone());
         }
         let response = match sent {
             Ok(response) => response,
@@ -500,12 +540,14 @@
         if let Some(failure) = error.path_failure() {
             path_probes::record_failure(&self.shared, target_id, failure);
         }
+        // Homes act on failures of engines for all gateways.
+        let is_path_suspected = path_probes::is_path_suspected(&self.shared, target_id);
         self.excluded.push(target_id.clone());
         let outcome = match error {
             SendError::NotSent(_) => {
                 self.unsent_attempts += 1;
                 self.shared.health.borrow_mut().failed(now_ms, target_id);
-                Outcome::Failed
+                if is_path_suspected { Outcome::Rejected } else { Outcome::Failed }
             }
             SendError::NotRun { fields, status } => {
                 if let Some(cold_ms) = fields.cold_ms {
@@ -524,6 +566,9 @@
                 self.may_have_run = true;
                 self.shared.health.borrow_mut().failed(now_ms, target_id);
                 match error {
+                    SendError::Unreachable(_) | SendError::Disconnected(_) if is_path_suspected => {
+                        Outcome::Done
+                    }
                     SendError::Disconnected(_) => Outcome::Disconnected,
                     _ => Outcome::Failed,
                 }
@@ -567,11 +612,18 @@
         let is_allowed = !self.may_have_run || self.route.kind.is_idempotent();
         is_allowed
             && !self.is_trial
+            && !self.is_passed_on
             && self.sent_attempts < self.route.max_attempts
-            && self.unsent_attempts <= MAX_UNSENT_ATTEMPTS
+            && self.unsent_attempts <= self.max_unsent_attempts()
             && Instant::now() < self.deadline
     }
 
+    /// While no target can be reached, one failure shows that this still holds.
+    fn max_unsent_attempts(&self) -> u32 {
+        let is_lost = self.shared.reachability.borrow().is_lost(&self.service);
+        if is_lost && self.has_asked_peers { 0 } else { MAX_UNSENT_ATTEMPTS }
+    }
+
     fn take_retry_budget(&self) -> bool {
         self.shared.with_budget(&self.service, RetryBudget::try_take)
     }
--- a/crates/mulberry-gateway/src/exchange/admission.rs
+++ b/crates/mulberry-gateway/src/exchange/admission.rs
@@ -16,6 +16,7 @@
 use crate::dialect::CallerFields;
 use crate::held_memory::BodyHold;
 use crate::metrics::RequestLabels;
+use crate::passed_request::PassedRequest;
 use crate::shared::Shared;
 
 /// `Retry-After` while this gateway is stopping; the load balancer sends the retry to another one.
@@ -63,7 +64,7 @@
         }
     }
     let keeps_alive = head.keeps_alive() && !shared.is_stopping.get();
-    let mut exchange = match Exchange::new(shared, head, body, fields, arrived) {
+    let mut exchange = match Exchange::new(shared, head, body, fields, arrived, None) {
         Ok(exchange) => Exchange { has_waited, ..exchange },
         Err(rejection) => {
             let error_response = ErrorResponse {
@@ -98,16 +99,16 @@
 }
 
 /// Why a request is rejected before a target is selected.
-struct AdmissionError {
-    status: u16,
-    retry_after_ms: Option<u64>,
-    reason: &'static str,
+pub(super) struct AdmissionError {
+    pub status: u16,
+    pub retry_after_ms: Option<u64>,
+    pub reason: &'static str,
     request_id: Option<Box<str>>,
     version: u64,
 }
 
 impl AdmissionError {
-    fn log(&self, shared: &Shared) {
+    pub(super) fn log(&self, shared: &Shared) {
         let labels = RequestLabels { kind: "none", outcome: "refused" };
         shared.metrics.requests.get_or_create(&labels).inc();
         tracing::info!(
@@ -121,12 +122,14 @@
 }
 
 impl Exchange {
-    fn new(
+    /// A request that arrived at `arrived`, at this gateway or at the one that has passed it on.
+    pub(super) fn new(
         shared: &Rc<Shared>,
         head: RequestHead,
         (body, body_hold): (Vec<u8>, Option<BodyHold>),
         fields: CallerFields,
         arrived: Instant,
+        passed: Option<&PassedRequest>,
     ) -> Result<Exchange, AdmissionError> {
         let version = shared.config_version();
         let reject = |status, retry_after_ms, reason| AdmissionError {
@@ -163,8 +166,13 @@
         let tenant_name = tenant.map(|tenant| tenant.name.clone());
         let priority = tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority);
         let service = pick_service(&route);
+        let mut fields = fields;
+        fields.last_event = passed.and_then(|passed| passed.last_event).or(fields.last_event);
         let limit_ms = fields.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
-        shared.with_budget(&service, |budget, now_ms, _| budget.count_request(now_ms));
+        if passed.is_none() {
+            shared.with_budget(&service, |budget, now_ms, _| budget.count_request(now_ms));
+        }
+        let sent_to = passed.map_or_else(Vec::new, |passed| passed.sent_to.clone());
         Ok(Exchange {
             shared: shared.clone(),
             table,
@@ -178,11 +186,16 @@
             shared_parts: fields.prompt_parts.split_last().map_or(&[][..], |(_, all)| all).into(),
             fields,
             arrived,
-            sent_attempts: 0,
+            sent_attempts: passed.map_or(0, |passed| passed.sends),
             unsent_attempts: 0,
-            may_have_run: false,
+            may_have_run: passed.is_some_and(|passed| passed.may_have_run),
             is_attempting: false,
-            excluded: Vec::new(),
+            excluded: sent_to.clone(),
+            sent_to,
+            is_counted: passed.is_some_and(|passed| passed.is_counted),
+            sends_elsewhere: passed.map(|passed| passed.sends),
+            has_asked_peers: false,
+            is_passed_on: false,
             last_target: None,
             last_failure: None,
             first_event_at: None,
--- a/crates/mulberry-gateway/src/exchange/selection.rs
+++ b/crates/mulberry-gateway/src/exchange/selection.rs
@@ -23,7 +23,7 @@
 use crate::memory_reservation::{HelperEngine, MemoryReservation};
 use crate::placed_job::PlacedJob;
 use crate::placement::Placer;
-use crate::{FleetView, TargetHealth};
+use crate::{BudgetEffect, FleetView, TargetHealth};
 
 /// Minimum timeout for the response of a target before another one is tried.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -176,19 +176,21 @@
             origin: self.origin(),
         };
         let time_left_ms = spec.time_left_ms;
-        Placer::place(&self.shared, spec, self.sent_attempts > 0).await.map_err(|decision| {
-            match decision {
-                Decision::Refused(refusal) => {
-                    self.reason = refusal.to_string();
-                    if self.shared.settings.scheduler.keeps_turns
-                        && refusal.retry_after_ms >= time_left_ms
-                    {
-                        self.reason.push_str("; there will be no room before the deadline");
-                    }
-                    self.error_response(refusal.retry_after_ms)
+        let budget_effect = match std::mem::replace(&mut self.is_counted, true) {
+            true if self.sent_attempts == 0 => BudgetEffect::Unaffected,
+            _ => BudgetEffect::for_first_group(self.sent_attempts > 0),
+        };
+        Placer::place(&self.shared, spec, budget_effect).await.map_err(|decision| match decision {
+            Decision::Refused(refusal) => {
+                self.reason = refusal.to_string();
+                if self.shared.settings.scheduler.keeps_turns
+                    && refusal.retry_after_ms >= time_left_ms
+                {
+                    self.reason.push_str("; there will be no room before the deadline");
                 }
-                Decision::Placed(_) | Decision::NoEngine => self.no_target_response("engine"),
+                self.error_response(refusal.retry_after_ms)
             }
+            Decision::Placed(_) | Decision::NoEngine => self.no_target_response("engine"),
         })
     }
 
@@ -374,11 +376,8 @@
             .map(|(_, record)| (record.id.clone(), record.address))
     }
 
-    pub(super) fn forwarded_head(
-        &self,
-        selected: &SelectedTarget,
-        after: Option<u64>,
-    ) -> RequestHead {
+    /// The caller's head without what concerns only its connection.
+    pub(super) fn plain_head(&self) -> RequestHead {
         let mut head = self.head.clone();
         head.headers.remove_connection_fields();
         head.headers.remove("expect");
@@ -386,6 +385,15 @@
         if !self.body.is_empty() || self.head.headers.get("content-length").is_some() {
             head.headers.push("Content-Length", self.body.len().to_string().as_bytes());
         }
+        head
+    }
+
+    pub(super) fn forwarded_head(
+        &self,
+        selected: &SelectedTarget,
+        after: Option<u64>,
+    ) -> RequestHead {
+        let mut head = self.plain_head();
         let left = self.deadline.saturating_duration_since(Instant::now());
         let fields = ForwardFields {
             deadline_ms: Some(left.as_millis() as u64),
--- a/crates/mulberry-gateway/src/gateway.rs
+++ b/crates/mulberry-gateway/src/gateway.rs
@@ -18,7 +18,7 @@
 use crate::capacity::CapacityExchange;
 use crate::placement::Placer;
 use crate::shared::Shared;
-use crate::{Dialect, GatewaySettings, caller_server, ready_server, registry_links};
+use crate::{Dialect, GatewaySettings, caller_server, peer_server, ready_server, registry_links};
 
 /// Minimum time between the stop signal and the end of the process, so that the load balancer notices and sends no
 /// more requests.
@@ -83,6 +83,7 @@
             None => None,
         };
         let address = settings.gateway_address;
+        let peers = listen("gateways", address)?;
         let socket = UdpSocket::bind(address).await.map_err(|source| GatewayError {
             purpose: "gateways",
             address,
@@ -115,6 +116,7 @@
                 if shared.capacity.is_on() {
                     spawn_local(CapacityExchange::run(shared.clone()));
                 }
+                spawn_local(peer_server::serve(peers, shared.clone()));
                 spawn_local(ready_server::serve(ready, shared.clone()));
                 let (close, closed) = oneshot::channel::<Infallible>();
                 let accepting = spawn_local(caller_server::serve(callers, shared.clone(), closed));
--- a/crates/mulberry-gateway/src/metrics.rs
+++ b/crates/mulberry-gateway/src/metrics.rs
@@ -26,6 +26,12 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a request that is passed on to another gateway.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct PassedLabels {
+    pub outcome: &'static str,
+}
+
 /// Labels of a placement.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct PlacementLabels {
@@ -98,6 +104,7 @@
     pub config_age_seconds: Gauge<f64, AtomicU64>,
     pub retry_budget_left: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
     pub lost_services: Gauge,
+    pub passed_requests: Family<PassedLabels, Counter>,
     pub crashed_requests: Counter,
     pub quarantined_parts: Gauge,
     pub quarantine_refusals: Counter,
@@ -133,6 +140,7 @@
             config_age_seconds: Gauge::default(),
             retry_budget_left: Family::default(),
             lost_services: Gauge::default(),
+            passed_requests: Family::default(),
             crashed_requests: Counter::default(),
             quarantined_parts: Gauge::default(),
             quarantine_refusals: Counter::default(),
@@ -216,6 +224,11 @@
             "Services of which this gateway reaches no target",
             self.lost_services.clone(),
         );
+        r.register(
+            "mulberry_gateway_passed_requests",
+            "Requests that were passed on to another gateway",
+            self.passed_requests.clone(),
+        );
         r.register(
             "mulberry_gateway_crashed_requests",
             "Requests that were waiting at an engine that crashed",
--- a/crates/mulberry-gateway/src/path_probes.rs
+++ b/crates/mulberry-gateway/src/path_probes.rs
@@ -25,16 +25,44 @@
 /// Interval between probes while the path is lost.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval at which a verdict is awaited.
+const VERDICT_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Whether the path may be what has failed at a target, rather than the target.
+pub(crate) fn is_path_suspected(shared: &Shared, target_id: &str) -> bool {
+    let now_ms = shared.now_ms();
+    service_of(shared, target_id)
+        .is_some_and(|service| shared.reachability.borrow().is_suspected(now_ms, &service))
+}
+
+/// Whether the path is what has failed at a target at `failed_at_ms`, found out by probes unless another target has been
+/// reached since.
+pub(crate) async fn is_path_at_fault(
+    shared: &Rc<Shared>,
+    target_id: &str,
+    failed_at_ms: u64,
+) -> bool {
+    let Some(service) = service_of(shared, target_id) else { return false };
+    if shared.reachability.borrow().has_contact_since(failed_at_ms, &service) {
+        return false;
+    }
+    if shared.reachability.borrow_mut().begin_probing(&service) {
+        spawn_local(probe(shared.clone(), service.clone()));
+    }
+    while shared.reachability.borrow().is_probing(&service) {
+        sleep(VERDICT_CHECK_INTERVAL).await;
+    }
+    shared.reachability.borrow().is_lost(&service)
+}
+
+fn service_of(shared: &Shared, target_id: &str) -> Option<Arc<str>> {
+    shared.fleet.borrow().get(target_id).map(|record| record.service.clone())
+}
+
 /// Records that a connection to a target failed.
 pub(crate) fn record_failure(shared: &Rc<Shared>, target_id: &Arc<str>, failure: PathFailure) {
-    let (service, known) = {
-        let fleet = shared.fleet.borrow();
-        let Some(service) = fleet.get(target_id).map(|record| record.service.clone()) else {
-            return;
-        };
-        let known = fleet.usable(&service).count();
-        (service, known)
-    };
+    let Some(service) = service_of(shared, target_id) else { return };
+    let known = shared.fleet.borrow().usable(&service).count();
     let now_ms = shared.now_ms();
     let must_probe =
         shared.reachability.borrow_mut().failed(now_ms, &service, target_id, known, failure);
@@ -45,8 +73,7 @@
 
 /// Records that a target accepted a connection.
 pub(crate) fn record_contact(shared: &Shared, target_id: &str) {
-    let service = shared.fleet.borrow().get(target_id).map(|record| record.service.clone());
-    if let Some(service) = service {
+    if let Some(service) = service_of(shared, target_id) {
         service_reached(shared, &service);
     }
 }
--- a/crates/mulberry-gateway/src/placement.rs
+++ b/crates/mulberry-gateway/src/placement.rs
@@ -228,15 +228,14 @@
         }
     }
 
-    /// Places a generation request. `is_retry` is true if the request has already been sent to an engine.
+    /// Places a generation request. `budget_effect` is that on the first group that is asked.
     pub(crate) async fn place(
         shared: &Rc<Shared>,
         spec: JobSpec,
-        is_retry: bool,
+        mut budget_effect: BudgetEffect,
     ) -> Result<PlacedJob, Decision> {
         let placer = &shared.placer;
         let start = tokio::time::Instant::now();
-        let mut budget_effect = BudgetEffect::for_first_group(is_retry);
         let own_group = placer.groups.get().group_of(&placer.zone);
         let mut best = placer.place_in_group(shared, &own_group, &spec, budget_effect).await;
         let mut tried_groups = vec![own_group];
--- a/crates/mulberry-gateway/src/reachability.rs
+++ b/crates/mulberry-gateway/src/reachability.rs
@@ -108,6 +108,12 @@
         })
     }
 
+    /// Whether a target of a service has accepted a connection since `since_ms`.
+    pub fn has_contact_since(&self, since_ms: u64, service: &str) -> bool {
+        let last = self.services.get(service).and_then(|path| path.last_contact_ms);
+        last.is_some_and(|last_ms| last_ms >= since_ms)
+    }
+
     /// Whether the verdict on a suspicion is still open.
     pub fn is_probing(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(|path| path.is_probing)
--- a/crates/mulberry-gateway/src/settings.rs
+++ b/crates/mulberry-gateway/src/settings.rs
@@ -35,7 +35,7 @@
     /// Address of the readiness endpoint for the load balancer.
     pub ready_address: SocketAddr,
 
-    /// UDP address for datagrams from other gateways.
+    /// Address for datagrams and connections from other gateways.
     pub gateway_address: SocketAddr,
 
     pub metrics_address: Option<SocketAddr>,
--- a/crates/mulberry-gateway/src/shared.rs
+++ b/crates/mulberry-gateway/src/shared.rs
@@ -19,6 +19,7 @@
 use crate::held_memory::HeldMemory;
 use crate::hex_list::HexList;
 use crate::metrics::{GatewayMetrics, ServiceLabels};
+use crate::peer_forwarding::PeerForwarding;
 use crate::placement::Placer;
 use crate::response_memory::ResponseMemory;
 use crate::target_pool::TargetPool;
@@ -38,6 +39,7 @@
     pub fleet: RefCell<FleetView>,
     pub health: RefCell<TargetHealth>,
     pub reachability: RefCell<Reachability>,
+    pub peers: PeerForwarding,
     pub pool: TargetPool,
     pub response_memory: ResponseMemory,
     pub held_memory: Rc<HeldMemory>,
@@ -111,6 +113,7 @@
             fleet: RefCell::default(),
             health: RefCell::default(),
             reachability: RefCell::default(),
+            peers: PeerForwarding::default(),
             part_guard: RefCell::default(),
             crash_detector: CrashDetector::default(),
             pool: TargetPool::default(),
--- a/crates/mulberry-gateway/tests/peer_forwarding.rs
+++ b/crates/mulberry-gateway/tests/peer_forwarding.rs
@@ -2,10 +2,15 @@
 
 mod common;
 
-use std::net::{SocketAddr, TcpListener};
+use std::io::Write as _;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-use common::{Action, Reply, ScriptedGateway, Target, config, exchange, request, response};
+use common::{
+    Action, Reply, ScriptedGateway, Target, config, engine_config, events, exchange, request,
+    response, stream_head, wait_until,
+};
 use mulberry_directory::{GatewayInfo, RegistryMessage, TargetRecord, TargetState};
 use mulberry_routes::RoutingConfig;
 
@@ -47,7 +52,8 @@
             let version = config.version;
             gateway.send(&RegistryMessage::ConfigVersion { version, is_confirmed: true });
         }
-        let peers = vec![peer("other", other.peers())];
+        // A gateway of an older version does not listen.
+        let peers = vec![peer("older", refusing_address()), peer("other", other.peers())];
         cut.send(&RegistryMessage::Gateways(peers));
         Pair { cut, other }
     }
@@ -79,3 +85,88 @@
         assert!(!text.contains("Key:") && text.ends_with("\r\n\r\npay"), "{text}");
     }
 }
+
+/// A stream in two halves.
+fn half_stream() -> Vec<Action> {
+    vec![
+        Action::SendAndClose(format!("{}{}", stream_head(), events(1..=3))),
+        Action::Send(format!("{}{}0\r\n\r\n", stream_head(), events(4..=6))),
+    ]
+}
+
+#[test]
+fn a_stream_that_is_passed_on_goes_on_at_another_engine_and_a_broken_one_stays_incomplete() {
+    let (one, two) = (Target::start("one", half_stream()), Target::start("two", half_stream()));
+    let pair = Pair::start(&engine_config(1), &[&one, &two]);
+    let reply = pair.call("GET", "/stream/", "Prompt-Tokens: 10\r\n", "");
+    // Both break off at first; the route allows two attempts.
+    assert_eq!(reply.status, 200, "{reply:?}");
+    assert!(reply.body.contains("id: 3\n") && !reply.body.contains("id: 4\n"), "{reply:?}");
+    assert!(!reply.is_complete, "a broken stream looks complete");
+    let reply = pair.call("GET", "/stream/", "Prompt-Tokens: 10\r\n", "");
+    assert!(reply.is_complete && reply.body.contains("id: 6\n"), "{reply:?}");
+    assert_eq!(one.received().len() + two.received().len(), 3, "sends of all gateways together");
+}
+
+#[test]
+fn a_request_that_may_have_run_at_another_gateway_is_not_sent_again() {
+    let cut = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nSigned: yes\r\nContent-Length: 9\r\n\r\nhalf";
+    let target = |id| Target::start(id, vec![Action::SendAndClose(cut.to_owned())]);
+    let (one, two, three) = (target("one"), target("two"), target("three"));
+    let pair = Pair::start(&config(1), &[&one, &two, &three]);
+    let sends = || [&one, &two, &three].iter().map(|target| target.received().len()).sum::<usize>();
+    let reply = pair.call("POST", "/once/", "", "pay");
+    assert_eq!((reply.status, sends()), (502, 1));
+    let reply = pair.call("GET", "/safe/", "", "");
+    assert_eq!((reply.status, sends()), (502, 3), "the route allows two attempts");
+}
+
+#[test]
+fn the_leaving_of_a_caller_reaches_the_engine_through_another_gateway() {
+    let hang = || vec![Action::SendAndHang(format!("{}{}", stream_head(), events(1..=2)))];
+    let (one, two) = (Target::start("one", hang()), Target::start("two", hang()));
+    let pair = Pair::start(&engine_config(1), &[&one, &two]);
+    let mut caller = TcpStream::connect(pair.cut.callers).expect("connects");
+    let text = request("GET", "/stream/", "Prompt-Tokens: 10\r\n", "");
+    caller.write_all(text.as_bytes()).expect("sends");
+    wait_until("the engine works", || one.received().len() + two.received().len() == 1);
+    assert_eq!(one.closed_connections() + two.closed_connections(), 0);
+    drop(caller);
+    let left = Instant::now();
+    wait_until("the engine is freed", || one.closed_connections() + two.closed_connections() > 0);
+    assert!(left.elapsed() < Duration::from_millis(500), "after {:?}", left.elapsed());
+}
+
+#[test]
+fn gateways_that_all_reach_no_target_refuse_at_once() {
+    let target = Target::start("one", vec![Action::Send(response(200, "answer"))]);
+    let mut pair = Pair::start(&config(1), &[&target]);
+    let lost = TargetRecord { address: refusing_address(), ..target.record(TargetState::Ready, 2) };
+    pair.other.send(&RegistryMessage::Targets(vec![lost]));
+    let peers = vec![peer("cut", pair.cut.peers())];
+    pair.other.send(&RegistryMessage::Gateways(peers));
+    wait_until("the other gateway has lost its target", || {
+        exchange(pair.other.callers, &request("GET", "/safe/", "", "")).status == 503
+    });
+    for _ in 0..5 {
+        let start = Instant::now();
+        let reply = pair.call("POST", "/once/", "", "pay");
+        assert_eq!(reply.status, 503, "{reply:?}");
+        assert!(reply.head.contains("Retry-After: 0."), "{reply:?}");
+        assert!(start.elapsed() < Duration::from_millis(800), "after {:?}", start.elapsed());
+    }
+    assert_eq!(target.received().len(), 0);
+}
+
+#[test]
+fn a_gateway_serves_its_callers_itself_once_the_path_is_back() {
+    let target = Target::start("one", vec![Action::Send(response(200, "answer"))]);
+    let mut pair = Pair::start(&config(1), &[&target]);
+    assert_eq!(pair.call("GET", "/safe/", "", "").body, "answer");
+    pair.cut.send(&RegistryMessage::Targets(vec![target.record(TargetState::Ready, 2)]));
+    // The other gateway knows the target no more.
+    pair.other.send(&RegistryMessage::Targets(vec![target.record(TargetState::Gone, 3)]));
+    let back = Instant::now();
+    wait_until("it serves alone", || pair.call("GET", "/safe/", "", "").status == 200);
+    assert!(back.elapsed() < Duration::from_secs(1), "after {:?}", back.elapsed());
+}
