Suspect the path only without recent contact

Within 250 ms of contact with a target its service is not suspected. Placements of a request that was not sent count for the retry budget as before; only one that another gateway has counted is not counted again.

--- a/crates/mulberry-gateway/src/exchange/selection.rs
+++ b/crates/mulberry-gateway/src/exchange/selection.rs
@@ -176,10 +176,12 @@
             origin: self.origin(),
         };
         let time_left_ms = spec.time_left_ms;
-        let budget_effect = match std::mem::replace(&mut self.is_counted, true) {
-            true if self.sent_attempts == 0 => BudgetEffect::Unaffected,
-            _ => BudgetEffect::for_first_group(self.sent_attempts > 0),
+        let is_counted_elsewhere = self.is_counted && self.sends_elsewhere.is_some();
+        let budget_effect = match self.sent_attempts {
+            0 if is_counted_elsewhere => BudgetEffect::Unaffected,
+            sends => BudgetEffect::for_first_group(sends > 0),
         };
+        self.is_counted = true;
         Placer::place(&self.shared, spec, budget_effect).await.map_err(|decision| match decision {
             Decision::Refused(refusal) => {
                 self.reason = refusal.to_string();
--- a/crates/mulberry-gateway/src/reachability.rs
+++ b/crates/mulberry-gateway/src/reachability.rs
@@ -13,8 +13,8 @@
 /// Number of targets whose failure raises the suspicion that the path is lost.
 const SUSPICIOUS_TARGETS: usize = 2;
 
-/// Time after contact within which the path is not probed again.
-const PROBE_PAUSE_MS: u64 = 500;
+/// Time after contact within which the path is neither suspected nor probed again. Several targets may fail at once.
+const PROBE_PAUSE_MS: u64 = 250;
 
 /// How a connection to a target failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +42,12 @@
     is_probing: bool,
 }
 
+impl ServicePath {
+    fn has_recent_contact(&self, now_ms: u64) -> bool {
+        self.last_contact_ms.is_some_and(|at_ms| now_ms < at_ms + PROBE_PAUSE_MS)
+    }
+}
+
 impl Reachability {
     /// Records that a connection to one of the `known` targets of a service failed. Returns true if other targets of the
     /// service are to be probed now, which [`Self::reached`] or [`Self::probes_failed`] ends.
@@ -60,9 +66,8 @@
             PathFailure::Rejected => SUSPICIOUS_TARGETS.min(known),
             PathFailure::Silent => 1,
         };
-        let is_pausing = path.last_contact_ms.is_some_and(|at_ms| now_ms < at_ms + PROBE_PAUSE_MS);
         let must_probe = path.failed_at_ms.len() >= suspicious
-            && !is_pausing
+            && !path.has_recent_contact(now_ms)
             && !path.is_probing
             && path.lost_since_ms.is_none();
         path.is_probing |= must_probe;
@@ -104,7 +109,8 @@
     pub fn is_suspected(&self, now_ms: u64, service: &str) -> bool {
         self.services.get(service).is_some_and(|path| {
             let failed = path.failed_at_ms.values().filter(|at_ms| now_ms < **at_ms + WINDOW_MS);
-            path.lost_since_ms.is_some() || failed.count() >= SUSPICIOUS_TARGETS
+            path.lost_since_ms.is_some()
+                || (failed.count() >= SUSPICIOUS_TARGETS && !path.has_recent_contact(now_ms))
         })
     }
 
