--- a/crates/mulberry-gateway/src/attempt.rs
+++ b/crates/mulberry-gateway/src/attempt.rs
@@ -13,7 +13,9 @@
 
 use tokio::net::TcpStream;
 
+use crate::PathFailure;
 use crate::dialect::ResponseFields;
+use crate::path_probes::record_contact;
 use crate::response_memory::{Body, ResponseMemory};
 use crate::settings::TARGET_ACK_TIMEOUT;
 use crate::shared::Shared;
@@ -29,7 +31,7 @@
 const MIN_BODY_BYTES_PER_S: f64 = 8_000.0;
 
 /// Maximum length of a response head.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Maximum length of a body that is read and discarded so that its connection can be reused.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
@@ -53,8 +55,8 @@
 /// Why an attempt got no usable response.
 #[derive(Debug)]
 pub(crate) enum SendError {
-    /// No byte was sent, so the request has not run.
-    NotSent(String),
+    /// The connection failed before a byte was sent, so the request has not run.
+    NotSent(io::Error),
 
     /// The target reported that it did not run the request.
     NotRun { status: u16, fields: ResponseFields },
@@ -62,19 +64,21 @@
     /// The request may have run.
     Unknown(String),
 
+    /// The request may have run, and the target's kernel has stopped answering.
+    Unreachable(String),
+
     /// The request may have run, and the connection was closed or reset.
     Disconnected(String),
 }
 
 impl From<ReadError> for SendError {
     fn from(error: ReadError) -> SendError {
-        // A timeout means that the peer is unreachable, not that it disconnected.
         let is_timeout =
             matches!(&error, ReadError::Io(error) if error.kind() == io::ErrorKind::TimedOut);
-        if error.is_disconnect() && !is_timeout {
-            SendError::Disconnected(error.to_string())
-        } else {
-            SendError::Unknown(error.to_string())
+        match error.is_disconnect() {
+            true if is_timeout => SendError::Unreachable(error.to_string()),
+            true => SendError::Disconnected(error.to_string()),
+            false => SendError::Unknown(error.to_string()),
         }
     }
 }
@@ -105,6 +109,39 @@
     Ok(stream)
 }
 
+impl SendError {
+    /// How the connection failed, if it did.
+    pub(crate) fn path_failure(&self) -> Option<PathFailure> {
+        match self {
+            SendError::NotSent(error) if error.kind() == io::ErrorKind::TimedOut => {
+                Some(PathFailure::Silent)
+            }
+            SendError::Unreachable(_) => Some(PathFailure::Silent),
+            SendError::NotSent(_) | SendError::Disconnected(_) => Some(PathFailure::Rejected),
+            SendError::NotRun { .. } | SendError::Unknown(_) => None,
+        }
+    }
+}
+
+/// Sends head and body. False if the peer has responded or closed before.
+pub(crate) async fn send_request(
+    connection: &mut Http1Connection,
+    head: &RequestHead,
+    body: &[u8],
+) -> io::Result<bool> {
+    let is_copied = body.len() <= MAX_COPIED_BYTES;
+    let copied_body = if is_copied { body } else { &[] };
+    let mut bytes = Vec::with_capacity(1_024 + copied_body.len());
+    head.encode(&mut bytes);
+    bytes.extend_from_slice(copied_body);
+    let is_sent = connection.write_watching(&bytes).await?;
+    drop(bytes);
+    if is_copied || !is_sent {
+        return Ok(is_sent);
+    }
+    connection.write_watching(body).await
+}
+
 impl Attempt<'_> {
     /// Sends the request and waits for the response head.
     pub(crate) async fn send(&self, shared: &Shared) -> Result<TargetResponse, SendError> {
@@ -115,7 +152,8 @@
             None => {
                 shared.metrics.target_connections.inc();
                 let stream = connect_target(self.address, CONNECT_TIMEOUT).await;
-                let stream = stream.map_err(|error| SendError::NotSent(error.to_string()))?;
+                let stream = stream.map_err(SendError::NotSent)?;
+                record_contact(shared, self.target_id);
                 Http1Connection::new(stream)
             }
         };
@@ -127,7 +165,8 @@
             let set = set_ack_timeout(connection.stream(), unanswered);
             set.map_err(ReadError::Io)?;
         }
-        let is_sent = self.send_request(&mut connection).await.map_err(ReadError::Io)?;
+        let is_sent =
+            send_request(&mut connection, self.head, self.body).await.map_err(ReadError::Io)?;
 
         let mut is_clean = is_sent;
         for _ in 0..=MAX_FOREIGN_RESPONSES {
@@ -156,33 +195,14 @@
                 continue;
             }
             let response = TargetResponse {
-                ends_with_connection: framing == Framing::UntilClose,
-                decoder: BodyDecoder::new(framing),
-                head,
-                fields,
-                connection,
                 is_clean,
+                ..TargetResponse::new(connection, head, fields, framing)
             };
             return self.check_response(shared, response).await;
         }
         Err(SendError::Unknown("too many responses to other requests on the connection".to_owned()))
     }
 
-    /// Sends head and body. False if the target has responded or closed before.
-    async fn send_request(&self, connection: &mut Http1Connection) -> io::Result<bool> {
-        let is_copied = self.body.len() <= MAX_COPIED_BYTES;
-        let copied_body = if is_copied { self.body } else { &[] };
-        let mut bytes = Vec::with_capacity(1_024 + copied_body.len());
-        self.head.encode(&mut bytes);
-        bytes.extend_from_slice(copied_body);
-        let is_sent = connection.write_watching(&bytes).await?;
-        drop(bytes);
-        if is_copied || !is_sent {
-            return Ok(is_sent);
-        }
-        connection.write_watching(self.body).await
-    }
-
     async fn check_response(
         &self,
         shared: &Shared,
@@ -212,6 +232,23 @@
 }
 
 impl TargetResponse {
+    /// The response whose head was read from a connection.
+    pub(crate) fn new(
+        connection: Http1Connection,
+        head: ResponseHead,
+        fields: ResponseFields,
+        framing: Framing,
+    ) -> TargetResponse {
+        TargetResponse {
+            ends_with_connection: framing == Framing::UntilClose,
+            decoder: BodyDecoder::new(framing),
+            head,
+            fields,
+            connection,
+            is_clean: true,
+        }
+    }
+
     /// Returns the next bytes of the body; `None` at its end.
     pub(crate) async fn next(&mut self) -> Result<Option<Vec<u8>>, ReadError> {
         if self.decoder.is_done() {
@@ -263,9 +300,11 @@
 impl fmt::Display for SendError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            SendError::NotSent(reason) => write!(f, "not sent: {reason}"),
+            SendError::NotSent(error) => write!(f, "not sent: {error}"),
             SendError::NotRun { status, .. } => write!(f, "not run: status {status}"),
-            SendError::Unknown(reason) | SendError::Disconnected(reason) => {
+            SendError::Unknown(reason)
+            | SendError::Unreachable(reason)
+            | SendError::Disconnected(reason) => {
                 write!(f, "may have run: {reason}")
             }
         }
