Reject responses without length that are reset

What callers saw: a target answered a long upload at once with a 200 without length, sent a part and reset the connection. The caller got the part as a complete answer: 200 with a length, or a stream with its last chunk.

Cause: a target that closes while a part of the request is still on its way ends its direction in order, and the kernel resets the connection only when that part arrives. Reading tells the end, not the reset, so the body looked whole. Besides, the look for waiting bytes of a paused stream takes the error of a reset out of the socket; the next read then tells an end.

Change: a body that ends with its connection is complete if the connection is not down (a reset one has no peer address, whoever was told of the error), the request was written whole, and the target's kernel takes it and the end of the sending direction without a reset. An early response with a length is passed on as before, and its connection is not used again.

Left: a response without length that ends in order before the gateway could write the whole request counts as broken off.

--- a/crates/mulberry-gateway/src/attempt.rs
+++ b/crates/mulberry-gateway/src/attempt.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use mulberry_http1::{
-    BodyDecoder, Framing, Http1Connection, ReadError, RequestHead, ResponseHead, response_framing,
-    set_ack_timeout, watch_peer,
+    BodyDecoder, BodyError, Framing, Http1Connection, ReadError, RequestHead, ResponseHead,
+    response_framing, set_ack_timeout, watch_peer,
 };
 
 use tokio::net::TcpStream;
@@ -91,6 +91,9 @@
     connection: Http1Connection,
     decoder: BodyDecoder,
 
+    /// Whether the whole request was written before the response began.
+    is_sent: bool,
+
     /// Whether the connection holds no bytes that could belong to another request.
     is_clean: bool,
 }
@@ -161,6 +164,7 @@
                 head,
                 fields,
                 connection,
+                is_sent,
                 is_clean,
             };
             return self.check_response(shared, response).await;
@@ -214,12 +218,25 @@
 impl TargetResponse {
     /// Returns the next bytes of the body; `None` at its end.
     pub(crate) async fn next(&mut self) -> Result<Option<Vec<u8>>, ReadError> {
-        if self.decoder.is_done() {
-            return Ok(None);
+        if !self.decoder.is_done() {
+            let mut bytes = Vec::new();
+            self.connection.read_body(&mut self.decoder, &mut bytes).await?;
+            if !bytes.is_empty() {
+                return Ok(Some(bytes));
+            }
+        }
+        self.confirm_end().await?;
+        Ok(None)
+    }
+
+    /// Checks that the connection with which a body ends was not reset. A target that closes it while a part of the
+    /// request is on its way resets it behind an orderly end, and reading tells only the end.
+    async fn confirm_end(&mut self) -> Result<(), ReadError> {
+        match (self.ends_with_connection, self.is_sent) {
+            (false, _) => Ok(()),
+            (true, true) => self.connection.confirm_taken().await.map_err(ReadError::Io),
+            (true, false) => Err(ReadError::Body(BodyError::Truncated)),
         }
-        let mut bytes = Vec::new();
-        self.connection.read_body(&mut self.decoder, &mut bytes).await?;
-        if bytes.is_empty() && self.decoder.is_done() { Ok(None) } else { Ok(Some(bytes)) }
     }
 
     /// Whether bytes of the target wait, as far as can be seen without waiting.
@@ -237,6 +254,7 @@
                 return Err(ReadError::BodyTooLong);
             }
         }
+        self.confirm_end().await?;
         Ok(body)
     }
 
--- a/crates/mulberry-http1/src/connection.rs
+++ b/crates/mulberry-http1/src/connection.rs
@@ -3,11 +3,13 @@
 use std::fmt;
 use std::io;
 use std::mem::MaybeUninit;
+use std::time::Duration;
 
 use bytes::BytesMut;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 use crate::{BodyDecoder, BodyError, HeadError, RequestHead, ResponseHead};
 
@@ -23,6 +25,10 @@
 /// Bytes of later requests that are kept while one is answered.
 const MAX_AHEAD_BYTES: usize = 64 * 1024;
 
+/// Time between two looks at whether the peer has taken everything.
+const MIN_TAKEN_CHECK: Duration = Duration::from_millis(1);
+const MAX_TAKEN_CHECK: Duration = Duration::from_millis(20);
+
 /// A socket and the bytes read from it that belong to no message yet.
 #[derive(Debug)]
 pub struct Http1Connection {
@@ -109,10 +115,11 @@
         }
     }
 
-    /// Appends the next part of a body to `output`; done when the decoder says so.
+    /// Appends the next part of a body to `output`; done when the decoder says so. A body that ends with the connection
+    /// is read before the sending direction is ended.
     ///
     /// # Errors
-    /// The body is malformed, or the connection ended before it.
+    /// The body is malformed, or the connection ended before it or was reset.
     pub async fn read_body(
         &mut self,
         decoder: &mut BodyDecoder,
@@ -125,6 +132,9 @@
                 return Ok(());
             }
             if self.fill().await.map_err(ReadError::Io)? == 0 {
+                if self.is_down() {
+                    return Err(ReadError::Io(io::ErrorKind::ConnectionReset.into()));
+                }
                 return decoder.end_of_input().map_err(ReadError::Body);
             }
         }
@@ -290,6 +300,28 @@
         self.stream.shutdown().await
     }
 
+    /// Ends the sending direction, and waits until the peer, which has ended its own, has taken all that was sent. The
+    /// kernel bounds the wait, see [`crate::set_ack_timeout`]. The future may be dropped and begun anew.
+    ///
+    /// # Errors
+    /// The connection was reset or failed before.
+    pub async fn confirm_taken(&mut self) -> io::Result<()> {
+        self.stream.shutdown().await?;
+        let mut pause = MIN_TAKEN_CHECK;
+        while !self.is_down() {
+            sleep(pause).await;
+            pause = (pause * 2).min(MAX_TAKEN_CHECK);
+        }
+        self.stream.take_error()?.map_or(Ok(()), Err)
+    }
+
+    /// Whether the connection is down in both directions. A peer that only ends its own direction leaves the other one
+    /// open. Tells a reset also when its error has gone to another call, or came behind an orderly end, where reading
+    /// only tells the end.
+    fn is_down(&self) -> bool {
+        self.stream.peer_addr().is_err()
+    }
+
     async fn fill_head(&mut self) -> Result<(), ReadError> {
         let was_empty = self.input.is_empty();
         match self.fill().await {
