Reject answers of plain services that are reset

What callers saw: a plain service answered a long body at once with a 200 without length, sent a part and reset the connection. The entry returned the part as a whole answer with a length.

A service that closes while a part of the call is on its way ends its direction in order, and the reset comes only when that part arrives. The HTTP client tells only the end, and gives no access to its socket. It also takes interim answers for final ones.

Change: ServiceClient has a connection of its own on mulberry-http1, with the same limits, and an answer without length is complete if the service's kernel takes the whole call without a reset before the deadline. Paths are sent as the caller wrote them, no Accept, User-Agent and Content-Type are added, heads with two lengths are refused, and a time-out of connecting counts as not sent.

Not affected: calls of engines and control. Their answers are JSON or events with an end of their own, which is checked.

--- a/crates/mulberry-services/src/lib.rs
+++ b/crates/mulberry-services/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod headers;
 mod service_client;
+mod service_connection;
 mod service_error;
 
 pub use headers::forwarded_headers;
--- a/crates/mulberry-services/src/service_client.rs
+++ b/crates/mulberry-services/src/service_client.rs
@@ -1,21 +1,19 @@
 //! Calls of plain services.
 
-use std::io::{ErrorKind as ErrorKindIo, Read};
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use attohttpc::{ErrorKind, ProxySettings, RequestBuilder};
-use mulberry_http::header::CONTENT_LENGTH;
+use mulberry_http::header::{HeaderName, HeaderValue};
 use mulberry_http::{Bytes, HeaderMap, Method, StatusCode};
+use mulberry_http1::{BodyDecoder, Headers, RequestHead, response_framing};
 use mulberry_types::RequestId;
 
+use crate::service_connection::ServiceConnection;
 use crate::{ServiceError, forwarded_headers};
 
-/// Bytes of a body that are read at a time.
-const PART_BYTES: usize = 16 << 10;
-
 /// Time limits and bounds of calls.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServiceClientSettings {
@@ -84,56 +82,43 @@
         if remaining.is_zero() {
             return Err(ServiceError::NotSent { problem: "the deadline has passed".to_owned() });
         }
-        let response = self
-            .builder(call, remaining)
-            .bytes(&call.body[..])
-            .send()
-            .map_err(|error| call_error(&error))?;
-        let (status, headers, reader) = response.split();
-        let body = self.read_body(reader)?;
-        check_length(call.method, status, &headers, body.len())?;
-        Ok(ServiceAnswer { status, headers: forwarded_headers(&headers), body: body.into() })
+        let timeout = Duration::from_millis(self.settings.connect_timeout_ms);
+        let mut connection = ServiceConnection::connect(call.address, timeout, call.deadline)
+            .map_err(|error| ServiceError::NotSent { problem: error.to_string() })?;
+        let mut head = Vec::new();
+        request_head(call).encode(&mut head);
+        connection.send(&head).map_err(|error| lost(&error))?;
+        connection.send(call.body).map_err(|error| lost(&error))?;
+        let head = connection.read_head().map_err(|error| lost(&error))?;
+        let status = StatusCode::from_u16(head.status).map_err(|error| unusable(&error))?;
+        let framing = response_framing(call.method.as_str(), &head);
+        let decoder = BodyDecoder::new(framing.map_err(|error| unusable(&error))?);
+        let body = self.read_body(&mut connection, decoder)?;
+        let headers = forwarded_headers(&header_map(&head.headers));
+        Ok(ServiceAnswer { status, headers, body: body.into() })
     }
 
     /// Reads a body within the limits of one answer and of all together.
-    fn read_body(&self, mut reader: impl Read) -> Result<Vec<u8>, ServiceError> {
+    fn read_body(
+        &self,
+        connection: &mut ServiceConnection,
+        mut decoder: BodyDecoder,
+    ) -> Result<Vec<u8>, ServiceError> {
         let limit_bytes = self.settings.max_answer_bytes;
         let mut reading = ReadingBytes { all: &self.reading_bytes, own: 0 };
         let mut body = Vec::new();
-        let mut part = vec![0; PART_BYTES];
-        loop {
-            let length = match reader.read(&mut part) {
-                Ok(0) => return Ok(body),
-                Ok(length) => length,
-                Err(error) if error.kind() == ErrorKindIo::Interrupted => continue,
-                Err(error) => {
-                    return Err(ServiceError::MayHaveRun { problem: error.to_string() });
-                }
-            };
-            if body.len() + length > usize::try_from(limit_bytes).unwrap_or(usize::MAX) {
+        while !decoder.is_done() {
+            let had = body.len();
+            connection.read_body(&mut decoder, &mut body).map_err(|error| lost(&error))?;
+            if body.len() > usize::try_from(limit_bytes).unwrap_or(usize::MAX) {
                 return Err(ServiceError::AnswerTooLong { limit_bytes });
             }
-            if reading.add(length) > self.settings.max_reading_bytes {
+            if reading.add(body.len() - had) > self.settings.max_reading_bytes {
                 let problem = "the answers of all calls are too long together".to_owned();
                 return Err(ServiceError::MayHaveRun { problem });
             }
-            body.extend_from_slice(&part[..length]);
-        }
-    }
-
-    fn builder(&self, call: &ServiceCall<'_>, remaining: Duration) -> RequestBuilder {
-        let url = format!("http://{}{}", call.address, call.path_and_query);
-        let mut builder = RequestBuilder::new(call.method.clone(), url)
-            .connect_timeout(Duration::from_millis(self.settings.connect_timeout_ms))
-            .read_timeout(remaining)
-            .timeout(remaining)
-            .follow_redirects(false)
-            // A proxy of the environment would be asked for targets that only this system knows.
-            .proxy_settings(ProxySettings::builder().build());
-        for (name, value) in &forwarded_headers(call.headers) {
-            builder = builder.header_append(name, value.clone());
         }
-        builder.header("x-request-id", call.request.to_string())
+        Ok(body)
     }
 }
 
@@ -157,33 +142,46 @@
     }
 }
 
-/// Checks that the body is as long as the answer says: the HTTP client takes a connection that ends early for the end.
-fn check_length(
-    method: &Method,
-    status: StatusCode,
-    headers: &HeaderMap,
-    body_bytes: usize,
-) -> Result<(), ServiceError> {
-    let has_no_body = method == Method::HEAD
-        || status == StatusCode::NO_CONTENT
-        || status == StatusCode::NOT_MODIFIED;
-    let length = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
-    match length.and_then(|length| length.trim().parse::<usize>().ok()) {
-        Some(length) if !has_no_body && body_bytes < length => {
-            let problem = format!("the answer ended after {body_bytes} of {length} bytes");
-            Err(ServiceError::MayHaveRun { problem })
-        }
-        _ => Ok(()),
+fn request_head(call: &ServiceCall<'_>) -> RequestHead {
+    let mut headers = Headers::default();
+    headers.push("host", call.address.to_string().as_bytes());
+    for (name, value) in &forwarded_headers(call.headers) {
+        headers.push(name.as_str(), value.as_bytes());
+    }
+    headers.push("x-request-id", call.request.to_string().as_bytes());
+    if !call.body.is_empty() || !matches!(*call.method, Method::GET | Method::HEAD) {
+        headers.push("content-length", call.body.len().to_string().as_bytes());
+    }
+    headers.push("connection", b"close");
+    RequestHead {
+        method: call.method.as_str().into(),
+        target: call.path_and_query.into(),
+        minor_version: 1,
+        headers,
     }
 }
 
-fn call_error(error: &attohttpc::Error) -> ServiceError {
-    let problem = error.to_string();
-    match error.kind() {
-        ErrorKind::ConnectError { .. } => ServiceError::NotSent { problem },
-        ErrorKind::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
-            ServiceError::NotSent { problem }
+/// Headers of an answer; what is no header by the names and values of this system is left out.
+fn header_map(headers: &Headers) -> HeaderMap {
+    let mut map = HeaderMap::new();
+    for (name, value) in headers.iter() {
+        if let (Ok(name), Ok(value)) =
+            (HeaderName::from_bytes(name.as_bytes()), HeaderValue::from_bytes(value))
+        {
+            map.append(name, value);
         }
-        _ => ServiceError::MayHaveRun { problem },
     }
+    map
+}
+
+fn lost(error: &io::Error) -> ServiceError {
+    let problem = match error.kind() {
+        ErrorKind::WouldBlock | ErrorKind::TimedOut => "the deadline has passed".to_owned(),
+        _ => error.to_string(),
+    };
+    ServiceError::MayHaveRun { problem }
+}
+
+fn unusable(error: &dyn std::error::Error) -> ServiceError {
+    ServiceError::MayHaveRun { problem: error.to_string() }
 }
