Reject answers whose status is not one of HTTP

What callers saw: a gateway passed on answers with the statuses 600 to 999. It took 000 to 099 and 101 for interim answers and waited for another until the time limit (504 after 3 s). A client of control believed a refusal with 101, 600 or 999.

Cause: ResponseHead::parse takes any three digits, and read_response skips everything below 200. The HTTP client of control takes 100 to 999, and only 200 was told from the rest.

Change: ResponseHead::parse refuses statuses outside of 100 to 599, and 101, which no request asks for, with HeadError::UnknownStatus. So the attempt fails at once, may have run, and safe requests go to another target. OperatorClient takes the outcome of a change as unknown if the status is none of 200 to 599.

--- a/crates/mulberry-http1/src/head.rs
+++ b/crates/mulberry-http1/src/head.rs
@@ -41,6 +41,9 @@
 
     /// The length of the body is given in two ways, or in one that is not known.
     AmbiguousLength,
+
+    /// The status is none of 100 to 599, or says that the connection speaks another protocol from here on.
+    UnknownStatus,
 }
 
 impl RequestHead {
@@ -97,7 +100,7 @@
     /// As [`RequestHead::parse`].
     ///
     /// # Errors
-    /// The bytes are no head.
+    /// The bytes are no head, or its status is not known. No request asks for another protocol.
     pub fn parse(input: &[u8]) -> Result<Option<(ResponseHead, usize)>, HeadError> {
         let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut response = httparse::Response::new(&mut fields);
@@ -105,8 +108,12 @@
             httparse::Status::Partial => return Ok(None),
             httparse::Status::Complete(length) => length,
         };
+        let status = response.code.unwrap_or_default();
+        if !(100..600).contains(&status) || status == 101 {
+            return Err(HeadError::UnknownStatus);
+        }
         let head = ResponseHead {
-            status: response.code.unwrap_or_default(),
+            status,
             reason: response.reason.unwrap_or_default().into(),
             minor_version: response.version.unwrap_or(1),
             headers: to_headers(response.headers),
@@ -159,6 +166,7 @@
             HeadError::AmbiguousLength => {
                 "the length of the body is ambiguous; send one Content-Length, or chunks"
             }
+            HeadError::UnknownStatus => "the status is none that a request can get",
         })
     }
 }
--- a/crates/mulberry-http1/tests/messages.rs
+++ b/crates/mulberry-http1/tests/messages.rs
@@ -53,6 +53,25 @@
     );
 }
 
+#[test]
+fn only_statuses_of_http_are_parsed() {
+    let parse = |status: &str| {
+        ResponseHead::parse(format!("HTTP/1.1 {status} S\r\nContent-Length: 0\r\n\r\n").as_bytes())
+    };
+    for status in 0..1_000 {
+        let parsed = parse(&format!("{status:03}"));
+        let parsed = parsed.ok().flatten().map(|(head, _)| head.status);
+        // Nothing asks for 101, after which the connection speaks another protocol.
+        let is_known = (100..600).contains(&status) && status != 101;
+        assert_eq!(parsed, is_known.then_some(status), "{status:03}");
+    }
+    for status in
+        ["-20", "+20", "2x0", "abc", "20", "2", "", "2000", "0200", " 200", "200.", "200,"]
+    {
+        assert!(parse(status).is_err(), "{status:?}");
+    }
+}
+
 #[test]
 fn a_response_without_length_ends_with_its_connection() {
     let parse =
--- a/crates/mulberry-operators/src/operator_client.rs
+++ b/crates/mulberry-operators/src/operator_client.rs
@@ -328,6 +328,9 @@
     if status == 200 {
         return Attempt::Answered(answer);
     }
+    if !(200..600).contains(&status) {
+        return Attempt::Unknown { problem: format!("HTTP status {status}") };
+    }
     let Ok(ErrorAnswer { error }) = serde_json::from_slice::<ErrorAnswer>(&answer) else {
         return match status {
             // Outcomes of a change.
--- a/crates/mulberry-operators/tests/client.rs
+++ b/crates/mulberry-operators/tests/client.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use std::io::{Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 
@@ -177,6 +178,27 @@
     assert!(error.to_string().contains("longer than 10 bytes"), "{error}");
 }
 
+/// Guards against a failing instance whose answer says that a change was not done.
+#[test]
+fn an_answer_with_a_status_outside_of_http_tells_nothing() {
+    for status in ["000", "101", "600", "999"] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        std::thread::spawn(move || {
+            let body = r#"{"error":{"code":"rejected","outcome":"not_run","message":"refused"}}"#;
+            while let Ok((mut stream, _)) = listener.accept() {
+                let mut input = [0; 4_096];
+                if matches!(stream.read(&mut input), Ok(count) if count > 0) {
+                    let head = format!("HTTP/1.1 {status} S\r\nContent-Length: {}", body.len());
+                    let _ = stream.write_all(format!("{head}\r\n\r\n{body}").as_bytes());
+                }
+            }
+        });
+        let error = hasty_client(&[address]).submit_change(&change("c1", 0)).unwrap_err();
+        assert!(matches!(error, OperatorError::OutcomeUnknown { .. }), "{status}: {error}");
+    }
+}
+
 /// Guards against a client without an address, and a token in a log.
 #[test]
 fn the_client_checks_its_settings_and_hides_the_token() {
