Go on with an upload after interim responses

What callers saw: a target that sent "100 Continue" while a long body was being written never got the rest; the caller got a 504 at its time limit.

Cause: any byte of the target ended the sending of the body, also when it belonged to an interim response.

Change: interim responses that come alone are skipped, and the rest of the body is sent, up to 16 times. An interim response that arrives in two parts ends the upload as before.

--- a/crates/mulberry-gateway/src/attempt.rs
+++ b/crates/mulberry-gateway/src/attempt.rs
@@ -37,6 +37,9 @@
 /// Maximum number of responses to other requests that are discarded on one connection.
 const MAX_FOREIGN_RESPONSES: usize = 2;
 
+/// Maximum number of times that interim responses may interrupt the sending of a body.
+const MAX_INTERIM_PAUSES: usize = 16;
+
 /// The request to send and the target to send it to.
 #[derive(Debug)]
 pub(crate) struct Attempt<'a> {
@@ -179,12 +182,19 @@
         let mut bytes = Vec::with_capacity(1_024 + copied_body.len());
         self.head.encode(&mut bytes);
         bytes.extend_from_slice(copied_body);
-        let is_sent = connection.write_watching(&bytes).await?;
+        let is_sent = connection.write_watching(&bytes).await? == bytes.len();
         drop(bytes);
         if is_copied || !is_sent {
             return Ok(is_sent);
         }
-        connection.write_watching(self.body).await
+        let mut left = self.body;
+        for _ in 0..=MAX_INTERIM_PAUSES {
+            left = &left[connection.write_watching(left).await?..];
+            if left.is_empty() || !connection.skip_interim() {
+                break;
+            }
+        }
+        Ok(left.is_empty())
     }
 
     async fn check_response(
--- a/crates/mulberry-gateway/tests/early_responses.rs
+++ b/crates/mulberry-gateway/tests/early_responses.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use std::io::{Read as _, Write as _};
-use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -43,6 +43,9 @@
 
     /// Keeps the connection and reads what comes.
     ReadOn,
+
+    /// Reads the whole request, then sends a final response.
+    Respond,
 }
 
 /// A target that responds to each request as soon as it has the head. Returns the bytes that come behind the head.
@@ -64,29 +67,48 @@
                     head.push(byte[0]);
                 }
                 let _ = stream.write_all(response.as_bytes());
-                if matches!(ending, Ending::ResetLater) {
-                    std::thread::sleep(PAUSE);
-                }
-                if !matches!(ending, Ending::Reset | Ending::ResetLater | Ending::ReadOn) {
-                    let _ = stream.shutdown(Shutdown::Write);
-                }
-                match ending {
-                    Ending::EndThenResetLater => std::thread::sleep(PAUSE),
-                    Ending::EndThenHang => std::thread::sleep(HANG),
-                    _ => {}
-                }
-                if matches!(ending, Ending::End | Ending::ReadOn) {
-                    std::thread::sleep(PAUSE);
-                    let mut rest = Vec::new();
-                    let _ = stream.read_to_end(&mut rest);
-                    received.lock().expect("not poisoned").push(rest);
-                }
+                end(stream, ending, &received);
             });
         }
     });
     (address, received)
 }
 
+fn end(mut stream: TcpStream, ending: Ending, received: &Mutex<Vec<Vec<u8>>>) {
+    let end_direction = |stream: &TcpStream| stream.shutdown(Shutdown::Write).is_ok();
+    match ending {
+        Ending::Reset => {}
+        Ending::ResetLater => std::thread::sleep(PAUSE),
+        Ending::EndThenReset => {
+            end_direction(&stream);
+        }
+        Ending::EndThenResetLater => {
+            end_direction(&stream);
+            std::thread::sleep(PAUSE);
+        }
+        Ending::EndThenHang => {
+            end_direction(&stream);
+            std::thread::sleep(HANG);
+        }
+        Ending::End | Ending::ReadOn => {
+            if ending == Ending::End {
+                end_direction(&stream);
+            }
+            std::thread::sleep(PAUSE);
+            let mut rest = Vec::new();
+            let _ = stream.read_to_end(&mut rest);
+            received.lock().expect("not poisoned").push(rest);
+        }
+        Ending::Respond => {
+            std::thread::sleep(PAUSE);
+            if stream.read_exact(&mut vec![0; BODY_BYTES[0]]).is_ok() {
+                let late = response(200, "late").replace("{id}", "r1");
+                let _ = stream.write_all(late.as_bytes());
+            }
+        }
+    }
+}
+
 fn record(address: SocketAddr) -> TargetRecord {
     TargetRecord {
         id: "early".into(),
@@ -174,3 +196,15 @@
         assert!(rest.iter().all(|byte| *byte == b'u'), "other bytes in the place of the body");
     }
 }
+
+#[test]
+fn an_interim_response_does_not_end_an_upload() {
+    for count in [1, 3] {
+        let interim = "HTTP/1.1 100 Continue\r\n\r\n".repeat(count);
+        let (address, _) = start_target(interim, Ending::Respond);
+        let mut fleet = start_fleet(&format!("interim-{count}"), address, config(1));
+        let reply = upload(&fleet, "/once/", BODY_BYTES[0]);
+        assert_eq!((reply.status, reply.body.as_str()), (200, "late"), "{count} interim responses");
+        fleet.kill_gateway();
+    }
+}
--- a/crates/mulberry-http1/src/connection.rs
+++ b/crates/mulberry-http1/src/connection.rs
@@ -275,21 +275,40 @@
             || SockRef::from(&self.stream).peek(&mut byte).is_ok_and(|length| length > 0)
     }
 
-    /// Sends bytes while looking for an early response. True when all bytes were sent; false when the peer has sent
+    /// Sends bytes while looking for an early response. Returns how many were sent: fewer than all when the peer has sent
     /// something or closed before.
     ///
     /// # Errors
     /// The connection failed.
-    pub async fn write_watching(&mut self, bytes: &[u8]) -> io::Result<bool> {
+    pub async fn write_watching(&mut self, bytes: &[u8]) -> io::Result<usize> {
         let (mut reader, mut writer) = self.stream.split();
         if self.input.capacity() - self.input.len() < READ_BYTES {
             self.input.reserve(READ_BYTES);
         }
-        tokio::select! {
-            biased;
-            written = writer.write_all(bytes) => written.map(|()| true),
-            read = reader.read_buf(&mut self.input) => read.map(|_| false),
+        let mut sent = 0;
+        while sent < bytes.len() {
+            tokio::select! {
+                biased;
+                written = writer.write(&bytes[sent..]) => match written? {
+                    0 => return Err(io::ErrorKind::WriteZero.into()),
+                    written => sent += written,
+                },
+                read = reader.read_buf(&mut self.input) => return read.map(|_| sent),
+            }
+        }
+        Ok(sent)
+    }
+
+    /// Drops interim responses that have come. True if there were some and nothing else has come.
+    pub fn skip_interim(&mut self) -> bool {
+        let mut has_skipped = false;
+        while let Ok(Some((head, length))) = ResponseHead::parse(&self.input)
+            && head.status < 200
+        {
+            self.consume(length);
+            has_skipped = true;
         }
+        has_skipped && self.input.is_empty()
     }
 
     /// Ends the sending direction; the peer sees the end of the stream.
