Bound the confirmation of responses without length

Cause: the confirmation was awaited without a bound, also for requests that leave in one write.

Change: only requests over 16 KiB are confirmed, for at most 2 s; the kernel gives up a target that takes nothing some time after 1 s. Where it reports neither, the end of the response counts.

--- a/crates/mulberry-gateway/src/attempt.rs
+++ b/crates/mulberry-gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 };
 
 use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
 
 use crate::dialect::ResponseFields;
 use crate::response_memory::{Body, ResponseMemory};
@@ -40,6 +41,10 @@
 /// Maximum number of times that interim responses may interrupt the sending of a body.
 const MAX_INTERIM_PAUSES: usize = 16;
 
+/// Maximum wait until a target that has ended its response has taken the rest of a request. The kernel gives up a
+/// connection some time after [`TARGET_ACK_TIMEOUT`]; where it reports neither, the end of the response counts.
+const MAX_TAKEN_WAIT: Duration = Duration::from_millis(2_000);
+
 /// The request to send and the target to send it to.
 #[derive(Debug)]
 pub(crate) struct Attempt<'a> {
@@ -97,6 +102,12 @@
     /// Whether the whole request was written before the response began.
     is_sent: bool,
 
+    /// Whether the request was longer than what is sent in one write, so that the kernel may hold a part.
+    is_long: bool,
+
+    /// When the wait for the target to take the request ends.
+    taken_until: Option<Instant>,
+
     /// Whether the connection holds no bytes that could belong to another request.
     is_clean: bool,
 }
@@ -168,6 +179,8 @@
                 fields,
                 connection,
                 is_sent,
+                is_long: self.body.len() > MAX_COPIED_BYTES,
+                taken_until: None,
                 is_clean,
             };
             return self.check_response(shared, response).await;
@@ -242,11 +255,18 @@
     /// Checks that the connection with which a body ends was not reset. A target that closes it while a part of the
     /// request is on its way resets it behind an orderly end, and reading tells only the end.
     async fn confirm_end(&mut self) -> Result<(), ReadError> {
-        match (self.ends_with_connection, self.is_sent) {
-            (false, _) => Ok(()),
-            (true, true) => self.connection.confirm_taken().await.map_err(ReadError::Io),
-            (true, false) => Err(ReadError::Body(BodyError::Truncated)),
+        if !self.ends_with_connection {
+            return Ok(());
+        }
+        if !self.is_sent {
+            return Err(ReadError::Body(BodyError::Truncated));
+        }
+        if !self.is_long {
+            return Ok(());
         }
+        let until = *self.taken_until.get_or_insert_with(|| Instant::now() + MAX_TAKEN_WAIT);
+        let taken = timeout_at(until, self.connection.confirm_taken()).await;
+        taken.unwrap_or(Ok(())).map_err(ReadError::Io)
     }
 
     /// Whether bytes of the target wait, as far as can be seen without waiting.
