--- a/crates/mulberry-gateway/src/attempt.rs
+++ b/crates/mulberry-gateway/src/attempt.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 use mulberry_http1::{
-    BodyDecoder, Framing, Http1Connection, ReadError, RequestHead, ResponseHead, response_framing,
-    set_ack_timeout, watch_peer,
+    BodyDecoder, BodyError, Framing, Http1Connection, ReadError, RequestHead, ResponseHead,
+    response_framing, set_ack_timeout, watch_peer,
 };
 
 use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
 
 use crate::PathFailure;
 use crate::dialect::ResponseFields;
@@ -39,6 +40,13 @@
 /// Maximum number of responses to other requests that are discarded on one connection.
 const MAX_FOREIGN_RESPONSES: usize = 2;
 
+/// Maximum number of times that interim responses may interrupt the sending of a body.
+const MAX_INTERIM_PAUSES: usize = 16;
+
+/// Maximum wait until a target that has ended its response has taken the rest of a request. The kernel gives up a
+/// connection some time after [`TARGET_ACK_TIMEOUT`]; where it reports neither, the end of the response counts.
+const MAX_TAKEN_WAIT: Duration = Duration::from_millis(2_000);
+
 /// The request to send and the target to send it to.
 #[derive(Debug)]
 pub(crate) struct Attempt<'a> {
@@ -95,6 +103,15 @@
     connection: Http1Connection,
     decoder: BodyDecoder,
 
+    /// Whether the whole request was written before the response began.
+    is_sent: bool,
+
+    /// Whether the request was longer than what is sent in one write, so that the kernel may hold a part.
+    is_long: bool,
+
+    /// When the wait for the target to take the request ends.
+    taken_until: Option<Instant>,
+
     /// Whether the connection holds no bytes that could belong to another request.
     is_clean: bool,
 }
@@ -134,12 +151,19 @@
     let mut bytes = Vec::with_capacity(1_024 + copied_body.len());
     head.encode(&mut bytes);
     bytes.extend_from_slice(copied_body);
-    let is_sent = connection.write_watching(&bytes).await?;
+    let is_sent = connection.write_watching(&bytes).await? == bytes.len();
     drop(bytes);
     if is_copied || !is_sent {
         return Ok(is_sent);
     }
-    connection.write_watching(body).await
+    let mut left = body;
+    for _ in 0..=MAX_INTERIM_PAUSES {
+        left = &left[connection.write_watching(left).await?..];
+        if left.is_empty() || !connection.skip_interim() {
+            break;
+        }
+    }
+    Ok(left.is_empty())
 }
 
 impl Attempt<'_> {
@@ -195,6 +219,8 @@
                 continue;
             }
             let response = TargetResponse {
+                is_sent,
+                is_long: self.body.len() > MAX_COPIED_BYTES,
                 is_clean,
                 ..TargetResponse::new(connection, head, fields, framing)
             };
@@ -245,18 +271,41 @@
             head,
             fields,
             connection,
+            is_sent: true,
+            is_long: false,
+            taken_until: None,
             is_clean: true,
         }
     }
 
     /// Returns the next bytes of the body; `None` at its end.
     pub(crate) async fn next(&mut self) -> Result<Option<Vec<u8>>, ReadError> {
-        if self.decoder.is_done() {
-            return Ok(None);
+        if !self.decoder.is_done() {
+            let mut bytes = Vec::new();
+            self.connection.read_body(&mut self.decoder, &mut bytes).await?;
+            if !bytes.is_empty() {
+                return Ok(Some(bytes));
+            }
+        }
+        self.confirm_end().await?;
+        Ok(None)
+    }
+
+    /// Checks that the connection with which a body ends was not reset. A target that closes it while a part of the
+    /// request is on its way resets it behind an orderly end, and reading tells only the end.
+    async fn confirm_end(&mut self) -> Result<(), ReadError> {
+        if !self.ends_with_connection {
+            return Ok(());
+        }
+        if !self.is_sent {
+            return Err(ReadError::Body(BodyError::Truncated));
+        }
+        if !self.is_long {
+            return Ok(());
         }
-        let mut bytes = Vec::new();
-        self.connection.read_body(&mut self.decoder, &mut bytes).await?;
-        if bytes.is_empty() && self.decoder.is_done() { Ok(None) } else { Ok(Some(bytes)) }
+        let until = *self.taken_until.get_or_insert_with(|| Instant::now() + MAX_TAKEN_WAIT);
+        let taken = timeout_at(until, self.connection.confirm_taken()).await;
+        taken.unwrap_or(Ok(())).map_err(ReadError::Io)
     }
 
     /// Whether bytes of the target wait, as far as can be seen without waiting.
@@ -274,6 +323,7 @@
                 return Err(ReadError::BodyTooLong);
             }
         }
+        self.confirm_end().await?;
         Ok(body)
     }
 
