Open a control replica's folder again after a full disk

Disks that were full for a few seconds, one after the other and never two at once, ended a control group: changes were refused or unanswered long after the last disk had room, while all processes ran.

Cause: a replica that failed a write stayed failed until its process was restarted, and nothing restarts a process that runs. With two of three such replicas there is no majority.

Now DataFolder::reopen recovers the folder without releasing its lock. A removed identity isn't created again, and a copied one stays fatal.

The texts of write errors no longer ask for a restart.

--- a/crates/mulberry-control/src/control_metrics.rs
+++ b/crates/mulberry-control/src/control_metrics.rs
@@ -108,7 +108,11 @@
             "Raft messages dropped by full or dead links",
             &self.messages_dropped,
         );
-        gauge("disk_failed", "1 after a failed write, until the restart", &self.disk_failed);
+        gauge(
+            "disk_failed",
+            "1 after a failed write, until the data folder is open again",
+            &self.disk_failed,
+        );
         gauge(
             "leader_contact_age_ms",
             "Milliseconds since this instance led or heard from a leader",
--- a/crates/mulberry-log/src/data_folder.rs
+++ b/crates/mulberry-log/src/data_folder.rs
@@ -70,6 +70,18 @@
         recovery::open(disk, settings)
     }
 
+    /// Recovers the durable state again after a failed write, without releasing the lock. What was written before the
+    /// failure without having been reported as written may be part of it.
+    ///
+    /// # Errors
+    /// The folder is corrupt or cannot be read or written, for example because the disk is still full. It remains
+    /// unusable, and this can be called again.
+    pub fn reopen(&mut self) -> Result<DurableState, LogError> {
+        let result = recovery::recover(self);
+        self.first_error = result.as_ref().err().map(ToString::to_string);
+        result
+    }
+
     /// Id of the replica, chosen at random when the folder was created.
     pub fn member_id(&self) -> MemberId {
         self.member
@@ -81,7 +93,8 @@
     /// # Errors
     /// [`LogError::InvalidWrites`] if the writes do not continue the log; nothing is written then.
     /// After any other error the folder is unusable: no part of `writes` counts as written until the
-    /// folder is opened again, and each later call fails with [`LogError::Unusable`].
+    /// folder is opened again, with [`DataFolder::reopen`] for example, and each call until then fails with
+    /// [`LogError::Unusable`].
     pub fn write(&mut self, writes: &Writes) -> Result<(), LogError> {
         self.check_usable()?;
         self.validate(writes)?;
--- a/crates/mulberry-log/src/log_error.rs
+++ b/crates/mulberry-log/src/log_error.rs
@@ -50,15 +50,13 @@
                 "cannot {action} {file}: {source}; check the disk and the permissions, then start \
                  again"
             ),
-            LogError::Write { action, file, source } => write!(
-                f,
-                "cannot {action} {file}: {source}; free space or replace the disk, then restart \
-                 this instance"
-            ),
+            LogError::Write { action, file, source } => {
+                write!(f, "cannot {action} {file}: {source}; free space or replace the disk")
+            }
             LogError::Unusable { first_error } => write!(
                 f,
-                "the data folder rejects writes after an earlier failure ({first_error}); restart \
-                 this instance"
+                "the data folder rejects writes until it is opened again after an earlier failure \
+                 ({first_error})"
             ),
             LogError::InvalidWrites { problem } => write!(
                 f,
--- a/crates/mulberry-log/src/recovery.rs
+++ b/crates/mulberry-log/src/recovery.rs
@@ -1,4 +1,4 @@
-//! Recovery of the data folder when it is opened.
+//! Recovery of the data folder when it is opened, for the first time or after a failure.
 
 use mulberry_consensus::{DurableState, Entry, MemberId, Snapshot};
 
@@ -14,6 +14,9 @@
 use crate::snapshot_file::{self, SnapshotFileError};
 use crate::{Disk, LogError, LogSettings};
 
+/// Id of a folder whose identity has not been read yet.
+const NO_MEMBER: MemberId = MemberId(0);
+
 /// Files in the folder by kind. Segment sequence numbers and snapshot indexes are in ascending order.
 struct FolderFiles {
     has_identity: bool,
@@ -53,28 +56,37 @@
     if !is_locked {
         return Err(LogError::Locked { folder: disk.display_path("") });
     }
-    let files = list_files(disk.as_ref())?;
     let mut folder = DataFolder {
         disk,
         settings,
-        member: MemberId(0),
-        metadata: LogMetadata { next_index: 1, ..LogMetadata::default() },
+        member: NO_MEMBER,
+        metadata: LogMetadata::default(),
         snapshot_index: None,
         segment_bytes: 0,
         buffer: Vec::new(),
         first_error: None,
     };
+    let durable = recover(&mut folder)?;
+    Ok((folder, durable))
+}
+
+/// Recovers the durable state of a locked folder.
+pub(crate) fn recover(folder: &mut DataFolder) -> Result<DurableState, LogError> {
+    folder.metadata = LogMetadata { next_index: 1, ..LogMetadata::default() };
+    folder.snapshot_index = None;
+    folder.segment_bytes = 0;
+    let files = list_files(folder.disk.as_ref())?;
     for name in &files.temp {
         folder.run_on_disk("remove", name, |disk| disk.remove(name))?;
     }
-    folder.member = open_identity(&mut folder, &files)?;
-    let snapshot = read_snapshot(&folder, &files)?;
-    let entries = recover_log(&mut folder, &files, snapshot.as_ref())?;
+    folder.member = open_identity(folder, &files)?;
+    let snapshot = read_snapshot(folder, &files)?;
+    let entries = recover_log(folder, &files, snapshot.as_ref())?;
     for index in files.snapshots.iter().rev().skip(1) {
         folder.remove(&snapshot_name(*index))?;
     }
     let hard_state = folder.metadata.hard_state;
-    Ok((folder, DurableState { hard_state, snapshot, entries }))
+    Ok(DurableState { hard_state, snapshot, entries })
 }
 
 fn list_files(disk: &dyn Disk) -> Result<FolderFiles, LogError> {
@@ -108,13 +120,15 @@
             }
         });
     }
-    if !files.segments.is_empty() || !files.snapshots.is_empty() {
-        return Err(corruption(
-            folder,
-            IDENTITY_FILE,
-            0,
-            "the file is missing although a log or snapshot exists",
-        ));
+    let problem = if !files.segments.is_empty() || !files.snapshots.is_empty() {
+        Some("the file is missing although a log or snapshot exists")
+    } else if folder.member != NO_MEMBER {
+        Some("the file has been removed")
+    } else {
+        None
+    };
+    if let Some(problem) = problem {
+        return Err(corruption(folder, IDENTITY_FILE, 0, problem));
     }
     let member = MemberId(rand::random_range(1..=u64::MAX));
     folder.write_file_atomically(IDENTITY_FILE, &identity::encode(member))?;
