Open a registry's folder again only after the last opening

After a full disk, a registry whose folder took over 1.2 s to open crashed with "writes reported as synced were not taken", also two at once in a series in which only one disk was full at a time.

Cause: a registry that had asked its disk thread to open the folder asked again 1.2 s later if there was no answer. The first answer made a replica, which sent a write behind the second opening; the second answer replaced the replica, and the write was then reported to one that hadn't made it.

Each opening ends with an event, so it is now asked for once, and again 0.3 s after it has failed.

Registry::with_disk lets tests inject failures.

--- a/crates/mulberry-registry/src/disk_thread.rs
+++ b/crates/mulberry-registry/src/disk_thread.rs
@@ -9,7 +9,7 @@
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use mulberry_consensus::{DurableState, MemberId, Snapshot, Writes};
 use mulberry_directory::TargetRecord;
-use mulberry_log::{DataFolder, LogError, LogSettings};
+use mulberry_log::{DataFolder, Disk, FileSystemDisk, LogError, LogSettings};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use crate::departure_log::DepartureLog;
@@ -25,6 +25,9 @@
 /// which the log deletes.
 const WARM_START_TEMP_FILE: &str = "notes.new";
 
+/// Opens the disk with the folder of the log.
+pub type OpenDisk = fn(&Path) -> io::Result<Box<dyn Disk>>;
+
 /// Jobs for the disk thread, executed in order.
 #[derive(Debug)]
 pub(crate) enum DiskJob {
@@ -77,10 +80,15 @@
     ///
     /// # Errors
     /// The thread cannot be started.
-    pub(crate) fn start(folder: PathBuf) -> io::Result<(DiskThread, UnboundedReceiver<DiskEvent>)> {
+    pub(crate) fn start(
+        folder: PathBuf,
+        open_disk: OpenDisk,
+    ) -> io::Result<(DiskThread, UnboundedReceiver<DiskEvent>)> {
         let (jobs, receiver) = unbounded();
         let (sender, events) = unbounded_channel();
-        Builder::new().name("disk".to_owned()).spawn(move || run(&folder, &receiver, &sender))?;
+        Builder::new()
+            .name("disk".to_owned())
+            .spawn(move || run(&folder, open_disk, &receiver, &sender))?;
         Ok((DiskThread { jobs }, events))
     }
 
@@ -90,6 +98,22 @@
     }
 }
 
+/// Opens the folder at `path` on the file system.
+pub(crate) fn open_file_system(path: &Path) -> io::Result<Box<dyn Disk>> {
+    Ok(Box::new(FileSystemDisk::new(path)?))
+}
+
+/// Opens the folder of the log and recovers its contents.
+fn open_log(path: &Path, open_disk: OpenDisk) -> Result<(DataFolder, DurableState), LogError> {
+    let settings = LogSettings { segment_bytes: SEGMENT_BYTES, ..LogSettings::default() };
+    let disk = open_disk(path).map_err(|source| LogError::Open {
+        action: "create",
+        file: path.display().to_string(),
+        source,
+    })?;
+    DataFolder::open_with_disk(disk, settings)
+}
+
 /// Reads the warm-start state; empty if it cannot be read.
 fn read_warm_start(folder: &Path) -> Vec<u8> {
     let read = fs::read(folder.join(WARM_START_FILE));
@@ -131,7 +155,12 @@
     }
 }
 
-fn run(path: &Path, jobs: &Receiver<DiskJob>, events: &UnboundedSender<DiskEvent>) {
+fn run(
+    path: &Path,
+    open_disk: OpenDisk,
+    jobs: &Receiver<DiskJob>,
+    events: &UnboundedSender<DiskEvent>,
+) {
     let mut folder: Option<DataFolder> = None;
     let mut departure_log: Option<DepartureLog> = None;
     while let Ok(job) = jobs.recv() {
@@ -139,9 +168,7 @@
             (DiskJob::Open, _) => {
                 // Release the folder lock before acquiring it again.
                 folder = None;
-                let settings =
-                    LogSettings { segment_bytes: SEGMENT_BYTES, ..LogSettings::default() };
-                DataFolder::open(path, settings).map(|(opened, durable)| {
+                open_log(path, open_disk).map(|(opened, durable)| {
                     let member = opened.member_id();
                     folder = Some(opened);
                     let departures;
--- a/crates/mulberry-registry/src/lib.rs
+++ b/crates/mulberry-registry/src/lib.rs
@@ -28,6 +28,7 @@
 mod target_feed;
 
 pub use command::Command;
+pub use disk_thread::OpenDisk;
 pub use membership::{MemberView, MembershipPlan, plan_membership, silence_ms};
 pub use operator_state::OperatorState;
 pub use public_protocol::{InvalidRequest, PublicProtocol, PublicRequest};
--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -63,7 +63,12 @@
     /// `None` until the data folder is open.
     replica: Option<Replica>,
 
+    /// Whether the last attempt to write or to open the data folder has failed.
+    has_disk_failed: bool,
+
+    /// When to open the data folder again after a failure; `None` while it is being opened.
     reopen_due_ms: Option<u64>,
+
     peers: PeerLinks,
     sent_bytes: SentBytes,
     sent_report_due_ms: u64,
@@ -163,6 +168,7 @@
             pauses: PauseDetector::default(),
             disk,
             replica: None,
+            has_disk_failed: false,
             reopen_due_ms: None,
             peers: PeerLinks::new(sent_bytes.clone()),
             sent_bytes,
@@ -270,7 +276,8 @@
             }
             DiskEvent::Failed(error) => {
                 self.metrics.disk_failures.inc();
-                if self.replica.take().is_some() || self.reopen_due_ms.is_none() {
+                self.replica = None;
+                if !std::mem::replace(&mut self.has_disk_failed, true) {
                     tracing::error!(event = "disk_lost", %error);
                 }
                 self.reopen_due_ms = Some(self.now_ms() + REOPEN_DELAY_MS);
@@ -354,7 +361,9 @@
         self.pauses.record_activity();
         let now_ms = self.now_ms();
         if self.reopen_due_ms.is_some_and(|due_ms| due_ms <= now_ms) {
-            self.reopen_due_ms = Some(now_ms + REOPEN_DELAY_MS * 4);
+            // Not submitted again before its result: a second opening would replace the replica of the first one, while
+            // writes of that replica are in flight.
+            self.reopen_due_ms = None;
             self.disk.submit(DiskJob::Open);
         }
         self.advance();
@@ -376,7 +385,7 @@
 
     fn open_replica(&mut self, member: MemberId, durable: DurableState) {
         let now_ms = self.now_ms();
-        self.reopen_due_ms = None;
+        self.has_disk_failed = false;
         let initial_members = match durable.entries.first() {
             Some(entry) if entry.index == 1 => match &entry.payload {
                 Payload::Members(members) => sorted_ids(members),
--- a/crates/mulberry-registry/src/registry.rs
+++ b/crates/mulberry-registry/src/registry.rs
@@ -18,7 +18,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
-use crate::disk_thread::DiskThread;
+use crate::disk_thread::{DiskThread, OpenDisk, open_file_system};
 use crate::gateway_link::LinkFrame;
 use crate::gateway_links::AddedLink;
 use crate::node::{Node, SharedNode};
@@ -47,6 +47,7 @@
 pub struct Registry {
     settings: RegistrySettings,
     protocol: Rc<dyn PublicProtocol>,
+    open_disk: OpenDisk,
 }
 
 /// An error that prevents an instance from starting.
@@ -58,7 +59,13 @@
 
 impl Registry {
     pub fn new(settings: RegistrySettings, protocol: Rc<dyn PublicProtocol>) -> Registry {
-        Registry { settings, protocol }
+        Registry { settings, protocol, open_disk: open_file_system }
+    }
+
+    /// Uses another disk for the log, so that tests can inject disk failures.
+    #[must_use]
+    pub fn with_disk(self, open_disk: OpenDisk) -> Registry {
+        Registry { open_disk, ..self }
     }
 
     /// Runs until `stop` resolves. The channel `seeds` delivers the new seeds when the settings change.
@@ -80,8 +87,9 @@
             Some(address) => Some(listen("metrics", address)?),
             None => None,
         };
-        let (disk, mut disk_events) = DiskThread::start(settings.data_folder.clone())
-            .map_err(|source| RegistryError::Start { what: "disk thread", source })?;
+        let (disk, mut disk_events) =
+            DiskThread::start(settings.data_folder.clone(), self.open_disk)
+                .map_err(|source| RegistryError::Start { what: "disk thread", source })?;
         tracing::info!(
             event = "started",
             instance = %settings.name,
