Answer requests at once when a registry's disk is full

A registry with a full disk held changes and reads of operators for 0.9 s, and refused them then. Requests that others had forwarded to a leader when its disk filled got no answer, and callers got 503 after 0.9 s, although another leader had been elected by then.

Cause: without a replica a registry retried until the deadline, ignored forwarded requests, and dropped those that were pending. A read forwarded to a replica that isn't the leader any more was ignored as well.

Now it refuses the former at once, and answers the latter with the reply for an unknown outcome, at which the registry that asked tries the next leader. Nothing changes before the folder is first open.

--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -276,7 +276,7 @@
             }
             DiskEvent::Failed(error) => {
                 self.metrics.disk_failures.inc();
-                self.replica = None;
+                self.refuse_pending_requests();
                 if !std::mem::replace(&mut self.has_disk_failed, true) {
                     tracing::error!(event = "disk_lost", %error);
                 }
@@ -286,6 +286,11 @@
         self.advance();
     }
 
+    /// Whether a write to the data folder has failed, and the folder is not open again.
+    pub(crate) fn has_disk_failed(&self) -> bool {
+        self.has_disk_failed
+    }
+
     /// Whether the data folder is open, and the targets known before the start are restored.
     pub(crate) fn is_open(&self) -> bool {
         self.replica.is_some()
@@ -299,9 +304,10 @@
                 self.handle_raft_message(now_ms, from, to, message);
             }
             PeerMessage::Propose { from, request_id, command, last_zone_change } => {
-                if let Some(replica) = &mut self.replica {
-                    let waiter = ProposalWaiter::Peer { member: MemberId(from), request_id };
-                    replica.propose(&command, last_zone_change, waiter);
+                let waiter = ProposalWaiter::Peer { member: MemberId(from), request_id };
+                match &mut self.replica {
+                    Some(replica) => replica.propose(&command, last_zone_change, waiter),
+                    None => self.answer_proposal(waiter, false),
                 }
             }
             PeerMessage::ProposeReply { request_id, is_committed } => {
@@ -310,11 +316,13 @@
                 }
             }
             PeerMessage::ReadIndex { from, request_id } => {
-                if let Some(replica) = &mut self.replica {
-                    replica.request_read_index(ReadWaiter::Peer {
-                        member: MemberId(from),
-                        request_id,
-                    });
+                let waiter = ReadWaiter::Peer { member: MemberId(from), request_id };
+                let refused = match &mut self.replica {
+                    Some(replica) => replica.request_read_index(waiter).err(),
+                    None => Some(waiter),
+                };
+                if let Some(waiter) = refused {
+                    self.answer_read(waiter, None);
                 }
             }
             PeerMessage::ReadIndexReply { request_id, index } => {
@@ -470,25 +478,10 @@
         for (waiter, is_committed) in
             lost.into_iter().map(|waiter| (waiter, false)).chain(completed)
         {
-            match waiter {
-                ProposalWaiter::NoReply => {}
-                ProposalWaiter::Local(sender) => {
-                    let _ = sender.send(is_committed);
-                }
-                ProposalWaiter::Peer { member, request_id } => {
-                    self.send_to(member, PeerMessage::ProposeReply { request_id, is_committed });
-                }
-            }
+            self.answer_proposal(waiter, is_committed);
         }
         for (waiter, index) in completed_reads {
-            match waiter {
-                ReadWaiter::Local(sender) => {
-                    let _ = sender.send(index);
-                }
-                ReadWaiter::Peer { member, request_id } => {
-                    self.send_to(member, PeerMessage::ReadIndexReply { request_id, index });
-                }
-            }
+            self.answer_read(waiter, index);
         }
         self.manage_membership(now_ms);
         self.publish();
--- a/crates/mulberry-registry/src/node/replica.rs
+++ b/crates/mulberry-registry/src/node/replica.rs
@@ -107,14 +107,18 @@
         is_current && self.state.evacuated_index <= index && !is_pending_later
     }
 
-    pub(super) fn request_read_index(&mut self, waiter: ReadWaiter) {
+    /// Requests an index that covers all entries acknowledged so far.
+    ///
+    /// # Errors
+    /// This replica is not the leader. The waiter is returned.
+    pub(super) fn request_read_index(&mut self, waiter: ReadWaiter) -> Result<(), ReadWaiter> {
         self.last_read_id += 1;
         let context = self.last_read_id;
-        if self.raft.confirm_leadership(context).is_ok() {
-            self.pending_reads.insert(context, waiter);
-        } else if let ReadWaiter::Local(sender) = waiter {
-            let _ = sender.send(None);
+        if self.raft.confirm_leadership(context).is_err() {
+            return Err(waiter);
         }
+        self.pending_reads.insert(context, waiter);
+        Ok(())
     }
 
     pub(super) fn apply_committed(&mut self) {
--- a/crates/mulberry-registry/src/node/requests.rs
+++ b/crates/mulberry-registry/src/node/requests.rs
@@ -37,7 +37,9 @@
         let (sender, receiver) = oneshot::channel();
         let replica = self.replica.as_mut()?;
         if replica.raft.role() == Role::Leader {
-            replica.request_read_index(ReadWaiter::Local(sender));
+            if let Err(waiter) = replica.request_read_index(ReadWaiter::Local(sender)) {
+                self.answer_read(waiter, None);
+            }
             self.advance();
             return Some(receiver);
         }
@@ -68,6 +70,42 @@
         Some(receiver)
     }
 
+    /// Drops the replica after a disk failure, and answers the requests that wait for it. Their outcome is unknown.
+    pub(super) fn refuse_pending_requests(&mut self) {
+        let Some(replica) = self.replica.take() else { return };
+        for (_, waiter) in replica.pending_proposals.into_values() {
+            self.answer_proposal(waiter, false);
+        }
+        for waiter in replica.pending_reads.into_values() {
+            self.answer_read(waiter, None);
+        }
+    }
+
+    /// Answers a proposal; if `is_committed` is false, its outcome is unknown.
+    pub(super) fn answer_proposal(&mut self, waiter: ProposalWaiter, is_committed: bool) {
+        match waiter {
+            ProposalWaiter::NoReply => {}
+            ProposalWaiter::Local(sender) => {
+                let _ = sender.send(is_committed);
+            }
+            ProposalWaiter::Peer { member, request_id } => {
+                self.send_to(member, PeerMessage::ProposeReply { request_id, is_committed });
+            }
+        }
+    }
+
+    /// Answers the request for a read index; `None` if it cannot be confirmed here.
+    pub(super) fn answer_read(&mut self, waiter: ReadWaiter, index: Option<u64>) {
+        match waiter {
+            ReadWaiter::Local(sender) => {
+                let _ = sender.send(index);
+            }
+            ReadWaiter::Peer { member, request_id } => {
+                self.send_to(member, PeerMessage::ReadIndexReply { request_id, index });
+            }
+        }
+    }
+
     /// Removes forwarded requests whose receiver was dropped.
     pub(crate) fn drop_cancelled_requests(&mut self) {
         self.forwarded_proposals.retain(|_, sender| !sender.is_closed());
--- a/crates/mulberry-registry/src/public_server.rs
+++ b/crates/mulberry-registry/src/public_server.rs
@@ -31,6 +31,9 @@
 /// Time to read a request after its first byte.
 const REQUEST_READ_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Reason for refusing requests while the data folder is not open again after a failed write.
+const DISK_FAILED: &str = "this registry cannot write to its disk; try another one";
+
 /// Maximum length of a request head.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
@@ -188,6 +191,9 @@
             if self.is_superseded(&command) {
                 return self.success();
             }
+            if self.node.borrow().has_disk_failed() {
+                return self.error(503, DISK_FAILED);
+            }
             // Read before the caller is checked: if the process is paused in between, the leader refuses the command.
             let last_zone_change = command.is_zone_change().then(|| self.last_zone_change());
             if last_zone_change.is_some() && self.is_abandoned(connection) {
@@ -279,6 +285,9 @@
             if let Some(response) = self.try_read_config(deadline).await {
                 return response;
             }
+            if self.node.borrow().has_disk_failed() {
+                return self.error(503, DISK_FAILED);
+            }
             if Instant::now() + RETRY_DELAY >= deadline {
                 return self.error(503, "cannot confirm the newest configuration; try again");
             }
--- a/crates/mulberry-registry/tests/full_disks.rs
+++ b/crates/mulberry-registry/tests/full_disks.rs
@@ -188,3 +188,51 @@
     set_faults(&group, 3, DiskFaults::default());
     group.request_until_ok(3, "PUT", "/config", "1000 d");
 }
+
+/// Guards against holding requests until their deadline at a registry that cannot serve them.
+#[test]
+fn requests_are_refused_at_once_while_the_disk_is_full() {
+    let group = form("refuse", 103, &[1, 2, 3]);
+    group.request_until_ok(1, "PUT", "/config", "1 a");
+    fill_disk(&group, 3);
+    group.request_until_ok(1, "PUT", "/config", "2 b");
+    wait_until_unavailable(&group, 3);
+    for (method, path, body) in
+        [("PUT", "/config", "3 c"), ("GET", "/config", ""), ("POST", "/zone", "z")]
+    {
+        let shortest = (0..5).map(|_| {
+            let started = Instant::now();
+            let status = group.request(3, method, path, body).map(|(status, _)| status);
+            assert_eq!(status, Some(503), "{method} {path}");
+            started.elapsed()
+        });
+        let shortest = shortest.min().expect("was sent");
+        assert!(shortest < Duration::from_millis(400), "{method} {path} took {shortest:?}");
+    }
+    set_faults(&group, 3, DiskFaults::default());
+    group.request_until_ok(3, "PUT", "/config", "4 d");
+}
+
+/// Guards against requests that a leader leaves unanswered when its disk is full, although another is elected in time.
+#[test]
+fn requests_forwarded_to_a_leader_with_a_full_disk_are_served() {
+    let group = form("forwarded", 104, &[1, 2, 3]);
+    group.request_until_ok(1, "PUT", "/config", "1 a");
+    let mut version = 1;
+    // One of the members is the leader. Elections may take longer on a busy machine, so one of several rounds counts.
+    let is_served = (0..6).any(|_| {
+        let statuses = [1, 2, 3].map(|member| {
+            version += 1;
+            fill_disk(&group, member);
+            let other = member % 3 + 1;
+            let changed = group.request(other, "PUT", "/config", &format!("{version} c"));
+            set_faults(&group, member, DiskFaults::default());
+            for member in 1..=3 {
+                group.request_until_ok(member, "GET", "/config", "");
+            }
+            changed.map(|(status, _)| status)
+        });
+        statuses == [Some(200); 3]
+    });
+    assert!(is_served, "in each round a request forwarded to the leader was not served");
+}
