--- a/crates/mulberry-registry/src/disk_thread.rs
+++ b/crates/mulberry-registry/src/disk_thread.rs
@@ -9,10 +9,10 @@
 use crossbeam::channel::{Receiver, Sender, unbounded};
 use mulberry_consensus::{DurableState, MemberId, Snapshot, Writes};
 use mulberry_directory::TargetRecord;
-use mulberry_log::{DataFolder, LogError, LogSettings};
+use mulberry_log::{DataFolder, Disk, FileSystemDisk, LogError, LogSettings};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
-use crate::departure_log::DepartureLog;
+use crate::departure_log::{DEPARTURES_FILE, DepartureLog};
 use crate::node::DepartureRequester;
 
 /// Size at which a new log segment is started. Small, because a restart reads all segments.
@@ -25,6 +25,9 @@
 /// which the log deletes.
 const WARM_START_TEMP_FILE: &str = "notes.new";
 
+/// Opens the disk with the folder of the log.
+pub type OpenDisk = fn(&Path) -> io::Result<Box<dyn Disk>>;
+
 /// Jobs for the disk thread, executed in order.
 #[derive(Debug)]
 pub(crate) enum DiskJob {
@@ -77,10 +80,15 @@
     ///
     /// # Errors
     /// The thread cannot be started.
-    pub(crate) fn start(folder: PathBuf) -> io::Result<(DiskThread, UnboundedReceiver<DiskEvent>)> {
+    pub(crate) fn start(
+        folder: PathBuf,
+        open_disk: OpenDisk,
+    ) -> io::Result<(DiskThread, UnboundedReceiver<DiskEvent>)> {
         let (jobs, receiver) = unbounded();
         let (sender, events) = unbounded_channel();
-        Builder::new().name("disk".to_owned()).spawn(move || run(&folder, &receiver, &sender))?;
+        Builder::new()
+            .name("disk".to_owned())
+            .spawn(move || run(&folder, open_disk, &receiver, &sender))?;
         Ok((DiskThread { jobs }, events))
     }
 
@@ -90,6 +98,22 @@
     }
 }
 
+/// Opens the folder at `path` on the file system.
+pub(crate) fn open_file_system(path: &Path) -> io::Result<Box<dyn Disk>> {
+    Ok(Box::new(FileSystemDisk::new(path)?))
+}
+
+/// Opens the folder of the log and recovers its contents.
+fn open_log(path: &Path, open_disk: OpenDisk) -> Result<(DataFolder, DurableState), LogError> {
+    let settings = LogSettings { segment_bytes: SEGMENT_BYTES, ..LogSettings::default() };
+    let disk = open_disk(path).map_err(|source| LogError::Open {
+        action: "create",
+        file: path.display().to_string(),
+        source,
+    })?;
+    DataFolder::open_with_disk(disk, settings)
+}
+
 /// Reads the warm-start state; empty if it cannot be read.
 fn read_warm_start(folder: &Path) -> Vec<u8> {
     let read = fs::read(folder.join(WARM_START_FILE));
@@ -101,84 +125,71 @@
 
 /// Replaces the warm-start file, and clears the log of departures, which the file contains. An older file is also usable
 /// after a crash, unless it precedes a departure: only then the folder is synced.
-fn write_warm_start(
-    folder: &Path,
-    bytes: &[u8],
-    departures: Option<&mut DepartureLog>,
-) -> io::Result<()> {
+fn write_warm_start(folder: &Path, bytes: &[u8], departures: &mut DepartureLog) -> io::Result<()> {
     let temp_path = folder.join(WARM_START_TEMP_FILE);
     let mut file = File::create(&temp_path)?;
     file.write_all(bytes)?;
     file.sync_data()?;
     fs::rename(temp_path, folder.join(WARM_START_FILE))?;
-    match departures.filter(|log| !log.is_empty()) {
-        Some(log) => {
-            File::open(folder)?.sync_all()?;
-            log.clear()
-        }
-        None => Ok(()),
+    if departures.is_empty() {
+        return Ok(());
     }
+    File::open(folder)?.sync_all()?;
+    departures.clear()
 }
 
-/// Opens the log of departures. Without it, departures are not stored, and not acknowledged.
-fn open_departures(folder: &Path) -> (Option<DepartureLog>, Vec<TargetRecord>) {
-    match DepartureLog::open(folder) {
-        Ok((log, records)) => (Some(log), records),
-        Err(error) => {
-            tracing::warn!(event = "departures_not_opened", %error);
-            (None, Vec::new())
-        }
-    }
+/// Opens the log of departures. Without it departures are not stored, so the data folder is not open either.
+fn open_departures(folder: &Path) -> Result<(DepartureLog, Vec<TargetRecord>), LogError> {
+    DepartureLog::open(folder).map_err(|source| LogError::Open {
+        action: "open",
+        file: folder.join(DEPARTURES_FILE).display().to_string(),
+        source,
+    })
 }
 
-fn run(path: &Path, jobs: &Receiver<DiskJob>, events: &UnboundedSender<DiskEvent>) {
-    let mut folder: Option<DataFolder> = None;
-    let mut departure_log: Option<DepartureLog> = None;
+fn run(
+    path: &Path,
+    open_disk: OpenDisk,
+    jobs: &Receiver<DiskJob>,
+    events: &UnboundedSender<DiskEvent>,
+) {
+    let mut folder: Option<(DataFolder, DepartureLog)> = None;
     while let Ok(job) = jobs.recv() {
         let event = match (job, &mut folder) {
             (DiskJob::Open, _) => {
                 // Release the folder lock before acquiring it again.
                 folder = None;
-                let settings =
-                    LogSettings { segment_bytes: SEGMENT_BYTES, ..LogSettings::default() };
-                DataFolder::open(path, settings).map(|(opened, durable)| {
+                open_log(path, open_disk).and_then(|(opened, durable)| {
+                    let (departure_log, departures) = open_departures(path)?;
                     let member = opened.member_id();
-                    folder = Some(opened);
-                    let departures;
-                    (departure_log, departures) = open_departures(path);
-                    DiskEvent::Opened {
-                        member,
-                        durable,
-                        warm_start: read_warm_start(path),
-                        departures,
-                    }
+                    folder = Some((opened, departure_log));
+                    let warm_start = read_warm_start(path);
+                    Ok(DiskEvent::Opened { member, durable, warm_start, departures })
                 })
             }
-            (DiskJob::Write(writes), Some(folder)) => {
+            (DiskJob::Write(writes), Some((folder, _))) => {
                 let started = Instant::now();
                 folder.write(&writes).map(|()| DiskEvent::Written {
                     writes,
                     took_s: started.elapsed().as_secs_f64(),
                 })
             }
-            (DiskJob::Save(snapshot), Some(folder)) => {
+            (DiskJob::Save(snapshot), Some((folder, _))) => {
                 folder.save_snapshot(&snapshot).map(|()| DiskEvent::Saved(snapshot))
             }
-            (DiskJob::SaveWarmStart(bytes), Some(_)) => {
-                if let Err(error) = write_warm_start(path, &bytes, departure_log.as_mut()) {
+            (DiskJob::SaveWarmStart(bytes), Some((_, departure_log))) => {
+                if let Err(error) = write_warm_start(path, &bytes, departure_log) {
                     tracing::warn!(event = "notes_not_written", %error);
                 }
                 continue;
             }
-            (DiskJob::StoreDeparture { requester, record }, Some(_)) => {
-                let stored = departure_log.as_mut().map(|log| log.append(&record));
-                match stored {
-                    Some(Ok(())) => Ok(DiskEvent::DepartureStored { requester, record }),
-                    Some(Err(error)) => {
+            (DiskJob::StoreDeparture { requester, record }, Some((_, departure_log))) => {
+                match departure_log.append(&record) {
+                    Ok(()) => Ok(DiskEvent::DepartureStored { requester, record }),
+                    Err(error) => {
                         tracing::warn!(event = "departure_not_stored", %error);
                         continue;
                     }
-                    None => continue,
                 }
             }
             // Jobs queued before the failure are discarded.
--- a/crates/mulberry-registry/src/node.rs
+++ b/crates/mulberry-registry/src/node.rs
@@ -65,7 +65,12 @@
     /// `None` until the data folder is open.
     replica: Option<Replica>,
 
+    /// Whether the last attempt to write or to open the data folder has failed.
+    has_disk_failed: bool,
+
+    /// When to open the data folder again after a failure; `None` while it is being opened.
     reopen_due_ms: Option<u64>,
+
     peers: PeerLinks,
     sent_bytes: SentBytes,
     sent_report_due_ms: u64,
@@ -169,6 +174,7 @@
             pauses: PauseDetector::default(),
             disk,
             replica: None,
+            has_disk_failed: false,
             reopen_due_ms: None,
             peers: PeerLinks::new(sent_bytes.clone()),
             sent_bytes,
@@ -278,7 +284,8 @@
             }
             DiskEvent::Failed(error) => {
                 self.metrics.disk_failures.inc();
-                if self.replica.take().is_some() || self.reopen_due_ms.is_none() {
+                self.refuse_pending_requests();
+                if !std::mem::replace(&mut self.has_disk_failed, true) {
                     tracing::error!(event = "disk_lost", %error);
                 }
                 self.reopen_due_ms = Some(self.now_ms() + REOPEN_DELAY_MS);
@@ -287,6 +294,11 @@
         self.advance();
     }
 
+    /// Whether a write to the data folder has failed, and the folder is not open again.
+    pub(crate) fn has_disk_failed(&self) -> bool {
+        self.has_disk_failed
+    }
+
     /// Whether the data folder is open, and the targets known before the start are restored.
     pub(crate) fn is_open(&self) -> bool {
         self.replica.is_some()
@@ -300,9 +312,10 @@
                 self.handle_raft_message(now_ms, from, to, message);
             }
             PeerMessage::Propose { from, request_id, command, last_zone_change } => {
-                if let Some(replica) = &mut self.replica {
-                    let waiter = ProposalWaiter::Peer { member: MemberId(from), request_id };
-                    replica.propose(&command, last_zone_change, waiter);
+                let waiter = ProposalWaiter::Peer { member: MemberId(from), request_id };
+                match &mut self.replica {
+                    Some(replica) => replica.propose(&command, last_zone_change, waiter),
+                    None => self.answer_proposal(waiter, false),
                 }
             }
             PeerMessage::ProposeReply { request_id, is_committed } => {
@@ -311,11 +324,13 @@
                 }
             }
             PeerMessage::ReadIndex { from, request_id } => {
-                if let Some(replica) = &mut self.replica {
-                    replica.request_read_index(ReadWaiter::Peer {
-                        member: MemberId(from),
-                        request_id,
-                    });
+                let waiter = ReadWaiter::Peer { member: MemberId(from), request_id };
+                let refused = match &mut self.replica {
+                    Some(replica) => replica.request_read_index(waiter).err(),
+                    None => Some(waiter),
+                };
+                if let Some(waiter) = refused {
+                    self.answer_read(waiter, None);
                 }
             }
             PeerMessage::ReadIndexReply { request_id, index } => {
@@ -362,7 +377,9 @@
         self.pauses.record_activity();
         let now_ms = self.now_ms();
         if self.reopen_due_ms.is_some_and(|due_ms| due_ms <= now_ms) {
-            self.reopen_due_ms = Some(now_ms + REOPEN_DELAY_MS * 4);
+            // Not submitted again before its result: a second opening would replace the replica of the first one, while
+            // writes of that replica are in flight.
+            self.reopen_due_ms = None;
             self.disk.submit(DiskJob::Open);
         }
         self.advance();
@@ -385,7 +402,7 @@
 
     fn open_replica(&mut self, member: MemberId, durable: DurableState) {
         let now_ms = self.now_ms();
-        self.reopen_due_ms = None;
+        self.has_disk_failed = false;
         let initial_members = match durable.entries.first() {
             Some(entry) if entry.index == 1 => match &entry.payload {
                 Payload::Members(members) => sorted_ids(members),
@@ -452,25 +469,10 @@
         for (waiter, is_committed) in
             lost.into_iter().map(|waiter| (waiter, false)).chain(completed)
         {
-            match waiter {
-                ProposalWaiter::NoReply => {}
-                ProposalWaiter::Local(sender) => {
-                    let _ = sender.send(is_committed);
-                }
-                ProposalWaiter::Peer { member, request_id } => {
-                    self.send_to(member, PeerMessage::ProposeReply { request_id, is_committed });
-                }
-            }
+            self.answer_proposal(waiter, is_committed);
         }
         for (waiter, index) in completed_reads {
-            match waiter {
-                ReadWaiter::Local(sender) => {
-                    let _ = sender.send(index);
-                }
-                ReadWaiter::Peer { member, request_id } => {
-                    self.send_to(member, PeerMessage::ReadIndexReply { request_id, index });
-                }
-            }
+            self.answer_read(waiter, index);
         }
         self.manage_membership(now_ms);
         self.publish();
