Take majorities of the largest list of registries

What callers would see: after a loss of power of all registries, an engine that left, with an acknowledged departure, may get requests again, and a request may be served with an API key that has been revoked.

Cause: a gateway counted the registries in the list that it had received last, whichever registry sent it. One that has just started outside the group, or with an empty disk, knows its seeds only. With such a list of 1 to 3, one or two of five registries were a majority, also if these had missed the departure or the newer configuration.

Change: the gateway keeps the count of each registry and takes a majority of the largest. A count is forgotten with the last list that names its registry.

Measured: an_engine_restored_by_a_minority_is_not_used_when_a_registry_knows_few_others got 200 from an engine that one of five registries had restored, and now gets 503. The 8 tests of startup pass.

--- a/crates/mulberry-gateway/src/registry_links.rs
+++ b/crates/mulberry-gateway/src/registry_links.rs
@@ -91,6 +91,7 @@
                 link.abort();
                 feeds.choice.borrow_mut().lost(*address);
                 shared.fleet.borrow_mut().registry_lost(shared.now_ms(), *address);
+                shared.forget_registry(*address);
                 reports.remove(address);
             }
             is_wanted
@@ -351,7 +352,7 @@
             shared.receive_part_statuses(address, &statuses);
         }
         RegistryMessage::Registries(addresses) => {
-            shared.set_registry_count(addresses.len());
+            shared.set_registry_count(address, addresses.len());
             apply_majority_targets(shared);
             // The receiver is dropped only when the gateway stops.
             let _ = reports.send(LinkReport::Registries { reporter: address, addresses });
--- a/crates/mulberry-gateway/src/shared.rs
+++ b/crates/mulberry-gateway/src/shared.rs
@@ -78,7 +78,9 @@
 
     /// Registries that have reported a version since the start.
     version_reporters: RefCell<HashSet<SocketAddr>>,
-    registry_count: Cell<usize>,
+
+    /// Number of registries that each registry knows, itself included.
+    registry_counts: RefCell<HashMap<SocketAddr, usize>>,
 
     /// Version that was requested last, and when.
     last_config_request: Cell<(u64, u64)>,
@@ -94,7 +96,6 @@
         incarnation: u64,
         placer: Placer,
     ) -> Shared {
-        let registry_count = settings.seeds.len();
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let metrics = GatewayMetrics::default();
         let held_memory = HeldMemory::new(&settings, &metrics);
@@ -127,7 +128,7 @@
             config_applied_ms: Cell::default(),
             confirmed_version: Cell::default(),
             version_reporters: RefCell::default(),
-            registry_count: Cell::new(registry_count),
+            registry_counts: RefCell::default(),
             last_config_request: Cell::default(),
             clock: Clock::new(),
             started_wall_ms: since.as_millis() as u64,
@@ -170,8 +171,7 @@
     /// may report an old configuration with API keys that have been revoked since. A majority of registries knows the
     /// newest one, even while there is no leader to confirm it.
     pub(crate) fn is_config_trusted(&self) -> bool {
-        let is_majority_known =
-            self.version_reporters.borrow().len() * 2 > self.registry_count.get();
+        let is_majority_known = self.version_reporters.borrow().len() * 2 > self.registry_count();
         self.table.borrow().is_some() && (is_majority_known || self.is_config_confirmed())
     }
 
@@ -182,13 +182,21 @@
         }
     }
 
+    /// Number of registries of which a majority is needed: the largest that one of them knows, since one that has just
+    /// started or lost its disk may know few others.
     pub(crate) fn registry_count(&self) -> usize {
-        self.registry_count.get()
+        let counts = self.registry_counts.borrow();
+        counts.values().copied().max().unwrap_or(self.settings.seeds.len())
+    }
+
+    /// Records the number of registries that `registry` knows.
+    pub(crate) fn set_registry_count(&self, registry: SocketAddr, count: usize) {
+        self.registry_counts.borrow_mut().insert(registry, count);
     }
 
-    /// Sets the number of known registries.
-    pub(crate) fn set_registry_count(&self, count: usize) {
-        self.registry_count.set(count);
+    /// Forgets the number of registries that `registry` knew.
+    pub(crate) fn forget_registry(&self, registry: SocketAddr) {
+        self.registry_counts.borrow_mut().remove(&registry);
     }
 
     /// Records that a registry has confirmed `version` as the newest one. Only the first confirmation counts.
--- a/crates/mulberry-gateway/tests/common/mod.rs
+++ b/crates/mulberry-gateway/tests/common/mod.rs
@@ -280,12 +280,17 @@
     }
 
     pub fn send(&mut self, message: &RegistryMessage) {
-        let mut bytes = Vec::new();
-        encode_frame(message, &mut bytes).expect("encodes");
-        self.link.write_all(&bytes).expect("the gateway listens");
+        send_on(&mut self.link, message);
     }
 }
 
+/// Sends a message of a registry on its link to a gateway.
+pub fn send_on(link: &mut TcpStream, message: &RegistryMessage) {
+    let mut bytes = Vec::new();
+    encode_frame(message, &mut bytes).expect("encodes");
+    link.write_all(&bytes).expect("the gateway listens");
+}
+
 /// One real registry and one gateway.
 pub struct Fleet {
     pub callers: SocketAddr,
--- a/crates/mulberry-gateway/tests/startup.rs
+++ b/crates/mulberry-gateway/tests/startup.rs
@@ -2,13 +2,14 @@
 
 mod common;
 
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use common::{
     Action, Reply, ScriptedGateway, Target, config, engine_config, events, exchange, request,
-    response, stream_head, wait_until,
+    response, send_on, stream_head, wait_until,
 };
 use mulberry_directory::{RegistryMessage, TargetState};
 
@@ -88,6 +89,28 @@
     assert_eq!(call(&gateway, "/safe/", "").join().expect("no panic").body, "one");
 }
 
+/// Guards against a registry that knows few others, such as one with an empty disk, and makes a minority count as most.
+#[test]
+fn an_engine_restored_by_a_minority_is_not_used_when_a_registry_knows_few_others() {
+    let target = Target::start("one", vec![Action::Send(response(200, "one"))]);
+    let mut gateway = ScriptedGateway::start();
+    let SocketAddr::V4(known) = gateway.registry() else { panic!("an IPv4 address") };
+    let [a, b, c, _] = known.ip().octets();
+    let newcomer = SocketAddr::from(([a, b, c, 2], known.port()));
+    let listener = TcpListener::bind(newcomer).expect("binds");
+    let other = |last: u8| ([127, 0, 0, last], 1).into();
+    let registries = vec![gateway.registry(), newcomer, other(1), other(2), other(3)];
+    gateway.send(&RegistryMessage::Registries(registries));
+    gateway.send(&RegistryMessage::Config(Arc::new(config(5))));
+    gateway.send(&confirmed(5));
+    gateway.send(&RegistryMessage::RestoredTargets(vec![target.record(TargetState::Ready, 1)]));
+    let (mut link, _) = listener.accept().expect("the gateway connects");
+    send_on(&mut link, &RegistryMessage::Registries(vec![newcomer]));
+    let early = call(&gateway, "/safe/", "Deadline-Ms: 1000\r\n");
+    assert_eq!(early.join().expect("no panic").status, 503);
+    assert!(target.received().is_empty(), "one of five registries has restored the engine");
+}
+
 /// After a power loss of the whole system, before any registry has heard from an engine.
 #[test]
 fn an_engine_restored_by_most_registries_is_used_immediately() {
