--- a/crates/mulberry-registry/tests/group.rs
+++ b/crates/mulberry-registry/tests/group.rs
@@ -726,8 +726,6 @@
     group.request_until_ok(1, "DELETE", "/target", "leaves");
 }
 
-/// Guards against a departure that is taken for that of an earlier start, by a registry that was away while the target
-/// started again: it was acknowledged, and no other registry and no gateway learnt it.
 /// Guards against departures that are acknowledged with copies on registries outside the group.
 #[test]
 fn a_registry_outside_the_group_acknowledges_no_departure_by_itself() {
@@ -748,6 +746,8 @@
     group.request_until_ok(4, "DELETE", "/target", "t");
 }
 
+/// Guards against a departure that is taken for that of an earlier start, by a registry that was away while the target
+/// started again: it was acknowledged, and no other registry and no gateway learnt it.
 #[test]
 fn a_departure_without_a_start_is_that_of_the_newest_start_any_registry_knows() {
     let mut group = Group::form("newest-start", 89, &[1, 2, 3]);
