Open the log of departures again after it could not be opened

A registry whose log of departures could not be opened, as when its disk fills between the opening of the log and that of the departures, stored no departure from then on. With two of three such registries, targets that left or drained got 503 although all disks had room.

Cause: the data folder counted as open without this log, and nothing opened it again until the next failed write or restart.

The records of the log must be known before the next save of the warm-start state clears it, so it isn't opened alone later.

--- a/crates/mulberry-registry/src/departure_log.rs
+++ b/crates/mulberry-registry/src/departure_log.rs
@@ -11,7 +11,7 @@
 use mulberry_directory::TargetRecord;
 
 /// File of the log, in the data folder.
-const DEPARTURES_FILE: &str = "departures";
+pub(crate) const DEPARTURES_FILE: &str = "departures";
 
 /// Bytes before the encoded target.
 const HEADER_BYTES: usize = 8;
--- a/crates/mulberry-registry/src/disk_thread.rs
+++ b/crates/mulberry-registry/src/disk_thread.rs
@@ -12,7 +12,7 @@
 use mulberry_log::{DataFolder, Disk, FileSystemDisk, LogError, LogSettings};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
-use crate::departure_log::DepartureLog;
+use crate::departure_log::{DEPARTURES_FILE, DepartureLog};
 use crate::node::DepartureRequester;
 
 /// Size at which a new log segment is started. Small, because a restart reads all segments.
@@ -125,34 +125,26 @@
 
 /// Replaces the warm-start file, and clears the log of departures, which the file contains. An older file is also usable
 /// after a crash, unless it precedes a departure: only then the folder is synced.
-fn write_warm_start(
-    folder: &Path,
-    bytes: &[u8],
-    departures: Option<&mut DepartureLog>,
-) -> io::Result<()> {
+fn write_warm_start(folder: &Path, bytes: &[u8], departures: &mut DepartureLog) -> io::Result<()> {
     let temp_path = folder.join(WARM_START_TEMP_FILE);
     let mut file = File::create(&temp_path)?;
     file.write_all(bytes)?;
     file.sync_data()?;
     fs::rename(temp_path, folder.join(WARM_START_FILE))?;
-    match departures.filter(|log| !log.is_empty()) {
-        Some(log) => {
-            File::open(folder)?.sync_all()?;
-            log.clear()
-        }
-        None => Ok(()),
+    if departures.is_empty() {
+        return Ok(());
     }
+    File::open(folder)?.sync_all()?;
+    departures.clear()
 }
 
-/// Opens the log of departures. Without it, departures are not stored, and not acknowledged.
-fn open_departures(folder: &Path) -> (Option<DepartureLog>, Vec<TargetRecord>) {
-    match DepartureLog::open(folder) {
-        Ok((log, records)) => (Some(log), records),
-        Err(error) => {
-            tracing::warn!(event = "departures_not_opened", %error);
-            (None, Vec::new())
-        }
-    }
+/// Opens the log of departures. Without it departures are not stored, so the data folder is not open either.
+fn open_departures(folder: &Path) -> Result<(DepartureLog, Vec<TargetRecord>), LogError> {
+    DepartureLog::open(folder).map_err(|source| LogError::Open {
+        action: "open",
+        file: folder.join(DEPARTURES_FILE).display().to_string(),
+        source,
+    })
 }
 
 fn run(
@@ -161,51 +153,43 @@
     jobs: &Receiver<DiskJob>,
     events: &UnboundedSender<DiskEvent>,
 ) {
-    let mut folder: Option<DataFolder> = None;
-    let mut departure_log: Option<DepartureLog> = None;
+    let mut folder: Option<(DataFolder, DepartureLog)> = None;
     while let Ok(job) = jobs.recv() {
         let event = match (job, &mut folder) {
             (DiskJob::Open, _) => {
                 // Release the folder lock before acquiring it again.
                 folder = None;
-                open_log(path, open_disk).map(|(opened, durable)| {
+                open_log(path, open_disk).and_then(|(opened, durable)| {
+                    let (departure_log, departures) = open_departures(path)?;
                     let member = opened.member_id();
-                    folder = Some(opened);
-                    let departures;
-                    (departure_log, departures) = open_departures(path);
-                    DiskEvent::Opened {
-                        member,
-                        durable,
-                        warm_start: read_warm_start(path),
-                        departures,
-                    }
+                    folder = Some((opened, departure_log));
+                    let warm_start = read_warm_start(path);
+                    Ok(DiskEvent::Opened { member, durable, warm_start, departures })
                 })
             }
-            (DiskJob::Write(writes), Some(folder)) => {
+            (DiskJob::Write(writes), Some((folder, _))) => {
                 let started = Instant::now();
                 folder.write(&writes).map(|()| DiskEvent::Written {
                     writes,
                     took_s: started.elapsed().as_secs_f64(),
                 })
             }
-            (DiskJob::Save(snapshot), Some(folder)) => {
+            (DiskJob::Save(snapshot), Some((folder, _))) => {
                 folder.save_snapshot(&snapshot).map(|()| DiskEvent::Saved(snapshot))
             }
-            (DiskJob::SaveWarmStart(bytes), Some(_)) => {
-                if let Err(error) = write_warm_start(path, &bytes, departure_log.as_mut()) {
+            (DiskJob::SaveWarmStart(bytes), Some((_, departure_log))) => {
+                if let Err(error) = write_warm_start(path, &bytes, departure_log) {
                     tracing::warn!(event = "notes_not_written", %error);
                 }
                 continue;
             }
-            (DiskJob::StoreDeparture { requester, record }, Some(_)) => {
-                let stored = departure_log.as_mut().map(|log| log.append(&record));
-                match stored {
-                    Some(Ok(())) => Ok(DiskEvent::DepartureStored { requester, record }),
-                    Some(Err(error)) => {
+            (DiskJob::StoreDeparture { requester, record }, Some((_, departure_log))) => {
+                match departure_log.append(&record) {
+                    Ok(()) => Ok(DiskEvent::DepartureStored { requester, record }),
+                    Err(error) => {
                         tracing::warn!(event = "departure_not_stored", %error);
                         continue;
                     }
-                    None => continue,
                 }
             }
             // Jobs queued before the failure are discarded.
--- a/crates/mulberry-registry/tests/full_disks.rs
+++ b/crates/mulberry-registry/tests/full_disks.rs
@@ -236,3 +236,24 @@
     });
     assert!(is_served, "in each round a request forwarded to the leader was not served");
 }
+
+/// Guards against a log of departures that stays closed after it could not be opened, so that no departure is stored.
+#[test]
+fn departures_are_stored_once_their_log_can_be_opened() {
+    let mut group = form("departures", 105, &[1, 2, 3]);
+    group.request_until_ok(1, "PUT", "/config", "1 a");
+    let log = |group: &Group, member: u8| group.folder.join(member.to_string()).join("departures");
+    for member in [2, 3] {
+        group.stop(member);
+        std::fs::remove_file(log(&group, member)).expect("has a log of departures");
+        std::fs::create_dir(log(&group, member)).expect("is created");
+        group.start(member, false);
+    }
+    group.request_until_ok(1, "PUT", "/target", "t");
+    let refused = group.request(1, "DELETE", "/target", "t").map(|(status, _)| status);
+    assert_eq!(refused, Some(503));
+    for member in [2, 3] {
+        std::fs::remove_dir(log(&group, member)).expect("is empty");
+    }
+    group.request_until_ok(1, "DELETE", "/target", "t");
+}
