Forget registries that the others no longer list

Cause: a gateway links to every registry in any list and kept the lists of registries whose links are lost. Each list names its sender, so none was ever dropped.

Change: the list of a registry is dropped 10 s after the others stop listing it, if it is not linked. While no registry is linked, all lists are kept, since all registries may restart at the same time.

--- a/crates/mulberry-gateway/src/lib.rs
+++ b/crates/mulberry-gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod placement;
 mod ready_server;
 mod registry_links;
+mod registry_lists;
 mod response_memory;
 mod retry_budget;
 mod settings;
--- a/crates/mulberry-gateway/src/registry_links.rs
+++ b/crates/mulberry-gateway/src/registry_links.rs
@@ -25,6 +25,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::feed_choice::FeedChoice;
+use crate::registry_lists::RegistryLists;
 use crate::settings::REGISTRY_ACK_TIMEOUT;
 use crate::shared::Shared;
 
@@ -57,8 +58,18 @@
 /// Reports from the links to their supervisor.
 #[derive(Debug)]
 enum LinkReport {
+    Linked {
+        registry: SocketAddr,
+    },
+    Lost {
+        registry: SocketAddr,
+    },
+
     /// A registry reported the addresses of all registries.
-    Registries { reporter: SocketAddr, addresses: Vec<SocketAddr> },
+    Registries {
+        reporter: SocketAddr,
+        addresses: Vec<SocketAddr>,
+    },
 }
 
 /// State that the links share.
@@ -75,7 +86,7 @@
 pub(crate) async fn run(shared: Rc<Shared>, mut seeds: UnboundedReceiver<Vec<SocketAddr>>) {
     let mut links: HashMap<SocketAddr, JoinHandle<()>> = HashMap::new();
     let mut seed_list = shared.settings.seeds.clone();
-    let mut reports: HashMap<SocketAddr, Vec<SocketAddr>> = HashMap::new();
+    let mut lists = RegistryLists::default();
     let (sender, mut receiver) = unbounded_channel();
     let feeds = Rc::new(Feeds {
         choice: RefCell::new(FeedChoice::new(shared.info().name)),
@@ -83,16 +94,21 @@
         has_changed: Notify::new(),
     });
     loop {
+        // All of them, so that no link that has just been made is closed.
+        while let Ok(report) = receiver.try_recv() {
+            record(&mut lists, report);
+        }
+        for registry in lists.expire(shared.now_ms()) {
+            shared.forget_registry(registry);
+        }
         let wanted: BTreeSet<SocketAddr> =
-            seed_list.iter().chain(reports.values().flatten()).copied().collect();
+            seed_list.iter().copied().chain(lists.addresses()).collect();
         links.retain(|address, link| {
             let is_wanted = wanted.contains(address);
             if !is_wanted {
                 link.abort();
                 feeds.choice.borrow_mut().lost(*address);
                 shared.fleet.borrow_mut().registry_lost(shared.now_ms(), *address);
-                shared.forget_registry(*address);
-                reports.remove(address);
             }
             is_wanted
         });
@@ -111,14 +127,20 @@
                 tracing::info!(event = "seeds_changed", seeds = ?new);
                 seed_list = new;
             }
-            Some(LinkReport::Registries { reporter, addresses }) = receiver.recv() => {
-                reports.insert(reporter, addresses);
-            }
+            Some(report) = receiver.recv() => record(&mut lists, report),
             () = sleep(SUPERVISE_INTERVAL) => {}
         }
     }
 }
 
+fn record(lists: &mut RegistryLists, report: LinkReport) {
+    match report {
+        LinkReport::Registries { reporter, addresses } => lists.reported(reporter, addresses),
+        LinkReport::Linked { registry } => lists.set_linked(registry, true),
+        LinkReport::Lost { registry } => lists.set_linked(registry, false),
+    }
+}
+
 async fn keep_link(
     shared: Rc<Shared>,
     feeds: Rc<Feeds>,
@@ -135,6 +157,8 @@
                 is_loss_logged = false;
                 shared.links.set(shared.links.get() + 1);
                 shared.metrics.links.inc();
+                // The receiver is dropped only when the gateway stops.
+                let _ = reports.send(LinkReport::Linked { registry: address });
                 let linked = Instant::now();
                 let request = feeds.choice.borrow_mut().linked(address, &feeds.known.borrow());
                 let reason = serve_link(&shared, &feeds, address, stream, request, &reports).await;
@@ -142,6 +166,7 @@
                 shared.metrics.links.dec();
                 feeds.choice.borrow_mut().lost(address);
                 shared.fleet.borrow_mut().registry_lost(shared.now_ms(), address);
+                let _ = reports.send(LinkReport::Lost { registry: address });
                 reconnect_delay = match linked.elapsed() < STABLE_AFTER {
                     true => (reconnect_delay * 2).min(MAX_RECONNECT_DELAY),
                     false => RECONNECT_DELAY,
--- a/crates/mulberry-gateway/tests/common/mod.rs
+++ b/crates/mulberry-gateway/tests/common/mod.rs
@@ -279,6 +279,13 @@
         self.link.local_addr().expect("connected")
     }
 
+    /// Address of another registry, on which nobody listens yet.
+    pub fn second_registry(&self) -> SocketAddr {
+        let SocketAddr::V4(first) = self.registry() else { panic!("an IPv4 address") };
+        let [a, b, c, _] = first.ip().octets();
+        SocketAddr::from(([a, b, c, 2], first.port()))
+    }
+
     pub fn send(&mut self, message: &RegistryMessage) {
         send_on(&mut self.link, message);
     }
--- a/crates/mulberry-gateway/tests/startup.rs
+++ b/crates/mulberry-gateway/tests/startup.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -94,9 +94,7 @@
 fn an_engine_restored_by_a_minority_is_not_used_when_a_registry_knows_few_others() {
     let target = Target::start("one", vec![Action::Send(response(200, "one"))]);
     let mut gateway = ScriptedGateway::start();
-    let SocketAddr::V4(known) = gateway.registry() else { panic!("an IPv4 address") };
-    let [a, b, c, _] = known.ip().octets();
-    let newcomer = SocketAddr::from(([a, b, c, 2], known.port()));
+    let newcomer = gateway.second_registry();
     let listener = TcpListener::bind(newcomer).expect("binds");
     let other = |last: u8| ([127, 0, 0, last], 1).into();
     let registries = vec![gateway.registry(), newcomer, other(1), other(2), other(3)];
