--- a/crates/mulberry-gateway/src/registry_lists.rs
+++ b/crates/mulberry-gateway/src/registry_lists.rs
@@ -7,8 +7,8 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
-/// Time for which the list of a registry is kept that is not linked and that no linked registry lists. The others list a
-/// silent registry for longer than this.
+/// Time for which the list of a registry is kept that is not linked and that no linked registry lists. The others list
+/// a silent registry for longer than this.
 const UNLISTED_EXPIRY_MS: u64 = 10_000;
 
 /// Lists of registries by the registry that reported them.
--- a/crates/mulberry-registry/src/node/addresses.rs
+++ b/crates/mulberry-registry/src/node/addresses.rs
@@ -10,8 +10,8 @@
 use crate::{Command, OperatorState};
 
 impl Node {
-    /// Link addresses of all registries, including this one: the members and those that have said hello, since seeds may
-    /// be gone. Without a group, nothing but the seeds may be known.
+    /// Link addresses of all registries, including this one: the members and those that have said hello, since seeds
+    /// may be gone. Without a group, nothing but the seeds may be known.
     pub(super) fn registries(&self) -> Vec<SocketAddr> {
         let members = self.current_member_addresses();
         let mut all: BTreeSet<SocketAddr> = if members.is_empty() {
--- a/crates/mulberry-registry/tests/group.rs
+++ b/crates/mulberry-registry/tests/group.rs
@@ -485,8 +485,7 @@
         }
     }
 
-    /// Reads messages until the registry lists these registries, by the last bytes of their addresses. False if it has not
-    /// done so in a time in which it sends several lists.
+    /// Whether the registry sends a list of exactly these registries, by the last bytes of their addresses, within 5 s.
     fn lists_registries(&mut self, group: &Group, registries: &[u8]) -> bool {
         let wanted: Vec<_> = registries.iter().map(|last| group.link_address(*last)).collect();
         let started = Instant::now();
