--- a/crates/mulberry-gateway/src/lib.rs
+++ b/crates/mulberry-gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod reachability;
 mod ready_server;
 mod registry_links;
+mod registry_lists;
 mod response_memory;
 mod retry_budget;
 mod settings;
