Report failures to homes once the path is known to be sound

Such a report now waits for the verdict of the probes and is given if the path is sound.

a_gateway_that_reaches_no_engine_does_not_turn_the_home_against_them fails (503 no engine has room) without passing on and without holding reports back. In the tests the reachable gateway is now the home of both, as meant; so the test of a broken stream, whose engines do break off, waits for the 0.2 s in which the home spares them, as Retry-After says, before its second call. Its assertions are the same. Sends named by another gateway are bounded.

--- a/crates/mulberry-gateway/src/exchange.rs
+++ b/crates/mulberry-gateway/src/exchange.rs
@@ -540,14 +540,12 @@
         if let Some(failure) = error.path_failure() {
             path_probes::record_failure(&self.shared, target_id, failure);
         }
-        // Homes act on failures of engines for all gateways.
-        let is_path_suspected = path_probes::is_path_suspected(&self.shared, target_id);
         self.excluded.push(target_id.clone());
         let outcome = match error {
             SendError::NotSent(_) => {
                 self.unsent_attempts += 1;
                 self.shared.health.borrow_mut().failed(now_ms, target_id);
-                if is_path_suspected { Outcome::Rejected } else { Outcome::Failed }
+                Outcome::Failed
             }
             SendError::NotRun { fields, status } => {
                 if let Some(cold_ms) = fields.cold_ms {
@@ -566,16 +564,20 @@
                 self.may_have_run = true;
                 self.shared.health.borrow_mut().failed(now_ms, target_id);
                 match error {
-                    SendError::Unreachable(_) | SendError::Disconnected(_) if is_path_suspected => {
-                        Outcome::Done
-                    }
                     SendError::Disconnected(_) => Outcome::Disconnected,
                     _ => Outcome::Failed,
                 }
             }
         };
         if let Some(job) = job {
-            job.finish(outcome);
+            // Homes act on failures of engines for all gateways.
+            let is_doubtful = error.path_failure().is_some()
+                && path_probes::is_path_suspected(&self.shared, target_id);
+            if is_doubtful {
+                path_probes::finish_after_verdict(&self.shared, job, outcome);
+            } else {
+                job.finish(outcome);
+            }
         }
         let label = match error {
             SendError::NotSent(_) => "not_sent",
--- a/crates/mulberry-gateway/src/passed_request.rs
+++ b/crates/mulberry-gateway/src/passed_request.rs
@@ -9,6 +9,9 @@
 /// Name of the header. It counts only on connections between gateways.
 const HEADER: &str = "Mulberry-Passed-On";
 
+/// Upper bound on the sends that another gateway can name.
+const MAX_SENDS: u32 = 1_000;
+
 /// Stands in for fields that a sender of an older version does not know.
 const MISSING_FIELDS: [u8; 16] = [0; 16];
 
@@ -58,11 +61,13 @@
         let digits = text.as_bytes().chunks(2);
         let byte = |pair| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok();
         let bytes: Vec<u8> = digits.map(byte).collect::<Option<_>>()?;
-        match postcard::from_bytes(&bytes) {
+        let mut passed: PassedRequest = match postcard::from_bytes(&bytes) {
             Err(postcard::Error::DeserializeUnexpectedEnd) => {
                 postcard::from_bytes(&[&*bytes, &MISSING_FIELDS].concat()).ok()
             }
             decoded => decoded.ok(),
-        }
+        }?;
+        passed.sends = passed.sends.min(MAX_SENDS);
+        Some(passed)
     }
 }
--- a/crates/mulberry-gateway/src/path_probes.rs
+++ b/crates/mulberry-gateway/src/path_probes.rs
@@ -6,11 +6,13 @@
 
 use mulberry_directory::TargetRecord;
 use mulberry_http1::connect;
+use mulberry_scheduler::Outcome;
 use rand::seq::{IteratorRandom as _, SliceRandom as _};
 use tokio::task::{JoinSet, spawn_local};
 use tokio::time::sleep;
 
 use crate::PathFailure;
+use crate::placed_job::PlacedJob;
 use crate::shared::Shared;
 
 /// Timeout for connecting to a probed target.
@@ -55,6 +57,16 @@
     shared.reachability.borrow().is_lost(&service)
 }
 
+/// Finishes a job that failed with its connection once it is known whether the path is at fault. If it is, nothing is
+/// said against the engine.
+pub(crate) fn finish_after_verdict(shared: &Rc<Shared>, job: PlacedJob, outcome: Outcome) {
+    let (shared, failed_at_ms) = (shared.clone(), shared.now_ms());
+    spawn_local(async move {
+        let is_path_at_fault = is_path_at_fault(&shared, job.engine(), failed_at_ms).await;
+        job.finish(if is_path_at_fault { Outcome::Rejected } else { outcome });
+    });
+}
+
 fn service_of(shared: &Shared, target_id: &str) -> Option<Arc<str>> {
     shared.fleet.borrow().get(target_id).map(|record| record.service.clone())
 }
--- a/crates/mulberry-gateway/tests/peer_forwarding.rs
+++ b/crates/mulberry-gateway/tests/peer_forwarding.rs
@@ -53,7 +53,8 @@
             gateway.send(&RegistryMessage::ConfigVersion { version, is_confirmed: true });
         }
         // A gateway of an older version does not listen.
-        let peers = vec![peer("older", refusing_address()), peer("other", other.peers())];
+        let older = GatewayInfo { started_ms: 2, ..peer("older", refusing_address()) };
+        let peers = vec![older, peer("other", other.peers())];
         cut.send(&RegistryMessage::Gateways(peers));
         Pair { cut, other }
     }
@@ -103,6 +104,8 @@
     assert_eq!(reply.status, 200, "{reply:?}");
     assert!(reply.body.contains("id: 3\n") && !reply.body.contains("id: 4\n"), "{reply:?}");
     assert!(!reply.is_complete, "a broken stream looks complete");
+    // The home spares both engines for 0.2 s, since they did break off.
+    std::thread::sleep(Duration::from_millis(300));
     let reply = pair.call("GET", "/stream/", "Prompt-Tokens: 10\r\n", "");
     assert!(reply.is_complete && reply.body.contains("id: 6\n"), "{reply:?}");
     assert_eq!(one.received().len() + two.received().len(), 3, "sends of all gateways together");
@@ -170,3 +173,18 @@
     wait_until("it serves alone", || pair.call("GET", "/safe/", "", "").status == 200);
     assert!(back.elapsed() < Duration::from_secs(1), "after {:?}", back.elapsed());
 }
+
+#[test]
+fn a_gateway_that_reaches_no_engine_does_not_turn_the_home_against_them() {
+    let stream = || vec![Action::Send(format!("{}{}0\r\n\r\n", stream_head(), events(1..=2)))];
+    let (one, two) = (Target::start("one", stream()), Target::start("two", stream()));
+    let three = Target::start("three", stream());
+    // The other gateway is the home of both.
+    let pair = Pair::start(&engine_config(1), &[&one, &two, &three]);
+    for number in 0..8 {
+        pair.call("GET", "/stream/", "Prompt-Tokens: 10\r\n", "");
+        let text = request("GET", "/stream/", "Prompt-Tokens: 10\r\n", "");
+        let reply = exchange(pair.other.callers, &text);
+        assert!(reply.is_complete && reply.body.contains("id: 2\n"), "call {number}: {reply:?}");
+    }
+}
