Let bytes stay unacknowledged by targets for 1.5 s

What callers saw: requests at engines that were healthy, but silent for a little more than a second, were cut and went on elsewhere or failed.

Cause: TCP_USER_TIMEOUT of connections to targets was 1.0 s. It also decides when keep-alive probes give up, whatever their count, so an idle connection to a silent target ended as early.

Change: 1.5 s, as on links to registries. The confirmation of responses without a length waits 3 s, longer than that.

--- a/crates/mulberry-gateway/src/attempt.rs
+++ b/crates/mulberry-gateway/src/attempt.rs
@@ -45,7 +45,7 @@
 
 /// Maximum wait until a target that has ended its response has taken the rest of a request. The kernel gives up a
 /// connection some time after [`TARGET_ACK_TIMEOUT`]; where it reports neither, the end of the response counts.
-const MAX_TAKEN_WAIT: Duration = Duration::from_millis(2_000);
+const MAX_TAKEN_WAIT: Duration = Duration::from_millis(3_000);
 
 /// The request to send and the target to send it to.
 #[derive(Debug)]
--- a/crates/mulberry-gateway/src/settings.rs
+++ b/crates/mulberry-gateway/src/settings.rs
@@ -8,7 +8,7 @@
 use mulberry_scheduler::SchedulerSettings;
 
 /// Maximum time for which bytes sent to a target may stay unacknowledged by its kernel.
-pub(crate) const TARGET_ACK_TIMEOUT: Duration = Duration::from_millis(1_000);
+pub(crate) const TARGET_ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Like [`TARGET_ACK_TIMEOUT`], for callers. A caller that pauses reading also leaves bytes unacknowledged, and may
 /// resume.
